--- /dev/null
+++ b/pepperhook/__init__.py
@@ -0,0 +1,1 @@
+"""pepperhook: a load balancer for services that call services."""
--- /dev/null
+++ b/pepperhook/model.py
@@ -0,0 +1,126 @@
+"""The types the decisions work on, and the interface they are called through.
+
+A host (see ``pepperhook/wirehost``) owns one ``policy.Balancer`` for each balancer it runs and calls it as things
+happen. Every call takes ``now`` (whole nanoseconds) and returns a list of results, plain tuples in sending order:
+
+    ("dispatch", dispatch, for_ns)    send dispatch.operation to dispatch.upstream, give up after for_ns
+    ("call off", dispatch)            stop waiting for it; its end is still to be reported
+    ("shed", operation, after_ns)     final answer: turned away, harmless to try again (after after_ns, if not 0)
+    ("break off", operation)          final answer: failed, promising nothing
+    ("probe", upstream)               ask whether it lives
+    ("watch",) / ("fetch",)           ask discovery for changes from now on / for its whole list once
+    ("wake", at_ns)                   call wake() at that time or later
+    ("note", text)                    a line for the operators' log
+
+The calls:
+
+    Balancer(settings, seed, now)                 a start from nothing; then wake() once
+    listing(now, whole, rows)                     news of upstreams: rows of (upstream, state, launched);
+                                                  whole: what is not named is gone
+    listing_failed(now)                           an ask failed, or what was watched broke
+    take(now, operation)                          a client's operation
+    started(now, dispatch)                        the answer began to stream
+    ended(now, dispatch, outcome, took, final, report)
+                                                  how a dispatch ended; final: the client has its answer;
+                                                  report: a map of load figures, or None
+    left(now, operation)                          the client is gone, nothing is owed
+    probed(now, upstream, outcome, took, report)  the end of a probe
+    heard(now, peer, body)                        a peer's message
+    wake(now)                                     a wake-up; early, late and doubled ones do no harm
+
+``settings`` is a plain map of names to values, times in nanoseconds under names that end in ``_ns``.
+"""
+
+from math import exp
+
+READY, DRAINING, GONE = "ready", "draining", "gone"
+FULFILLED, ERROR, FULL, TIMED_OUT = "fulfilled", "error", "full", "timed out"
+UNCONNECTED, RESET, CALLED_OFF, MOOT = "unconnected", "reset", "called off", "moot"
+NEVER_RAN = frozenset((FULL, UNCONNECTED, MOOT))
+RETRIABLE, FINGERPRINTED, BINDING = "retriable", "fingerprinted", "binding"
+
+
+class Missing(ValueError):
+    """A setting that the decisions cannot do without is absent."""
+
+
+class Sums:
+    """Weight, sum and sum of squares of what was seen, each fading over ``span``; up to date when read."""
+
+    __slots__ = ("span", "at", "weight", "total", "squares")
+
+    def __init__(self, span, now):
+        self.span, self.at, self.weight, self.total, self.squares = span, now, 0.0, 0.0, 0.0
+
+    def fade(self, now):
+        if now > self.at:
+            keep = exp((self.at - now) / self.span)
+            self.weight *= keep
+            self.total *= keep
+            self.squares *= keep
+            self.at = now
+        return self
+
+    def add(self, now, value=1.0):
+        self.fade(now)
+        self.weight += 1.0
+        self.total += value
+        self.squares += value * value
+
+    def rate(self, now):
+        """Events a second."""
+        return self.fade(now).weight * 1e9 / self.span
+
+    def mean(self, now, prior=0.0, strength=0.0):
+        self.fade(now)
+        weight = self.weight + strength
+        return (self.total + prior * strength) / weight if weight else prior
+
+
+class Upstream:
+    """One machine that operations can go to, as this balancer knows it."""
+
+    def __init__(self, address, zone=0, cell=0, units=1.0, kind=0):
+        self.address, self.zone, self.cell, self.units, self.kind = address, zone, cell, units, kind
+        self.state, self.launched = GONE, 0
+        self.pending = {}           # dispatches out, oldest first
+        self.times = None           # Sums of ln(answer time / usual)
+        self.faults = None          # Sums of 0 or 1
+        self.dark_since = None      # when it was found dead or mute
+        self.probing = False
+        self.probe_after = 0
+        self.warm_from = None       # when it was seen to start cold
+        self.allowance = 0.0        # dispatches it may be sent while cold
+        self.allowed_at = 0
+        self.weight = 1.0           # chance to be considered when drawn
+        self.answered = 0           # when it last answered anything
+        self.report, self.report_at = None, 0
+
+
+class Operation:
+    """What a client asked for; it ends with exactly one final answer."""
+
+    __slots__ = ("id", "grade", "customer", "key", "not_after", "cost", "repeat", "taken", "goal_at", "value",
+                 "dispatches", "out", "over", "streaming", "waiting", "again")
+
+    def __init__(self, id, grade, customer, key, not_after, cost=None, repeat=False):
+        self.id, self.grade, self.customer, self.key = id, grade, customer, key
+        self.not_after, self.cost, self.repeat = not_after, cost, repeat
+        self.taken = self.goal_at = 0
+        self.value = 0.0
+        self.dispatches, self.out = [], 0
+        self.over = self.streaming = self.waiting = self.again = False
+
+
+class Dispatch:
+    """One sending of an operation to an upstream."""
+
+    __slots__ = ("operation", "upstream", "number", "sent", "outcome", "took")
+
+    def __init__(self, operation, upstream, now):
+        self.operation, self.upstream, self.sent = operation, upstream, now
+        self.number, self.outcome, self.took = len(operation.dispatches), None, 0
+
+    @property
+    def may_have_run(self):
+        return self.outcome not in NEVER_RAN
