--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -297,7 +297,7 @@
     def review(self, now):
         ring, core = self.ring, self.core
         count = len(ring)
-        width = min(count, max(SLICE_LEAST, -(-count // core.balancers)) + self.extra)
+        width = min(count, max(SLICE_LEAST, -(-count // core.balancers), -(-count // 2)) + self.extra)
         start = core.index * count // core.balancers
         self.members, fit = [], 0
         for step in range(count):
