--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -22,6 +22,7 @@
 
 SLICE_LEAST = 3
 TIMES_SPAN, FAULTS_SPAN = 6 * S, 4 * S
+AWAY = 0.3                  # weight of another zone's upstream, as crossing is dear and slow
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
@@ -323,7 +324,8 @@
         fair = sorted(faults)[len(faults) // 2]
         for upstream, high, fault in zip(self.members, judged, faults):
             upstream.faulty = fault > 0.3 and fair < 0.1
-            weight = min(1.0, (middle / high) ** 2) * min(1.0, ((1 - fault) / (1 - fair)) ** 2 if fair < 1 else 1)
+            near = 1.0 if upstream.zone == core.settings.get("zone", upstream.zone) else AWAY
+            weight = near * min(1.0, (middle / high) ** 2) * min(1.0, ((1 - fault) / (1 - fair)) ** 2 if fair < 1 else 1)
             upstream.weight = max(TRICKLE, weight * core.sender.warmth(now, upstream))
             if upstream.dark_since is not None:
                 upstream.weight = 0.0
