--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -22,7 +22,7 @@
 
 SLICE_LEAST = 3
 TIMES_SPAN, FAULTS_SPAN = 6 * S, 4 * S
-AWAY = 0.3                  # weight of another zone's upstream, as crossing is dear and slow
+AWAY = 0.5                  # weight of another zone's upstream, as crossing is dear and slow
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
@@ -353,7 +353,7 @@
         first = self.draw(fit)
         second = self.draw([u for u in fit if u is not first] or [first])
         ahead, behind = len(first.pending), len(second.pending)
-        if behind < ahead or behind == ahead and second.weight > first.weight:
+        if behind < ahead:
             first = second
         return self.inner.send(now, operation, first)
 
