--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -22,7 +22,7 @@
 
 SLICE_LEAST = 3
 TIMES_SPAN, FAULTS_SPAN = 6 * S, 4 * S
-AWAY = 0.5                  # weight of another zone's upstream, as crossing is dear and slow
+AWAY = 0.4                  # weight of another zone's upstream, as crossing is dear and slow
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
@@ -276,7 +276,7 @@
         for upstream, state, launched in rows:
             if upstream.times is None:
                 upstream.times, upstream.faults = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now)
-                upstream.faulty = False
+                upstream.faulty, upstream.slow = False, 1.0
             if launched > upstream.launched:
                 upstream.launched = launched
                 if now - launched < self.core.settings.get("warm_within_ns", 0):
@@ -323,10 +323,12 @@
         faults = [u.faults.mean(now, 0, 2) for u in self.members]
         fair = sorted(faults)[len(faults) // 2]
         for upstream, high, fault in zip(self.members, judged, faults):
+            warmth = core.sender.warmth(now, upstream)
+            upstream.slow = high * (1 + 4 * fault) / warmth
             upstream.faulty = fault > 0.3 and fair < 0.1
             near = 1.0 if upstream.zone == core.settings.get("zone", upstream.zone) else AWAY
             weight = near * min(1.0, (middle / high) ** 2) * min(1.0, ((1 - fault) / (1 - fair)) ** 2 if fair < 1 else 1)
-            upstream.weight = max(TRICKLE, weight * core.sender.warmth(now, upstream))
+            upstream.weight = max(TRICKLE, weight * warmth)
             if upstream.dark_since is not None:
                 upstream.weight = 0.0
                 if core.settings.get("may_probe"):
@@ -353,7 +355,7 @@
         first = self.draw(fit)
         second = self.draw([u for u in fit if u is not first] or [first])
         ahead, behind = len(first.pending), len(second.pending)
-        if behind < ahead:
+        if behind < ahead or behind == ahead and second.slow < first.slow:
             first = second
         return self.inner.send(now, operation, first)
 
