--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -26,7 +26,7 @@
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
-LATE_AT, LATE_SHARE = 0.7, 0.15     # of the goal time; of what was answered
+CROWD = 0.45                # mean time out that is let grow, in goal times
 HOLD = 0.15                 # of the goal time
 
 
@@ -104,7 +104,7 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.limit, self.queue, self.late = None, [], Sums(S, core.now)
+        self.limit, self.queue, self.done = None, [], Sums(2 * S, core.now)
 
     def least(self):
         return 2.0 * max(SLICE_LEAST, len(self.core.pick.members))
@@ -150,19 +150,14 @@
 
     def ended(self, now, dispatch):
         if dispatch.outcome == FULFILLED:
-            self.late.add(now, dispatch.took > LATE_AT * dispatch.operation.grade["goal_ns"])
-        elif dispatch.outcome in (FULL, TIMED_OUT):
-            self.late.add(now, 1)
+            self.done.add(now, dispatch.operation.grade["goal_ns"])
         self.outer.ended(now, dispatch)
         self.release(now)
 
     def review(self, now):
-        if self.limit is None:
-            return
-        if self.late.mean(now, 0, 3) > LATE_SHARE:
-            self.limit = max(self.least(), 0.93 * min(self.limit, self.core.sent_out + 2))
-        elif self.core.sent_out > 0.8 * self.limit:
-            self.limit += max(0.5, 0.03 * self.limit)
+        # Little's law: what is out, over what is fulfilled in a second, is the mean wait of what is sent next.
+        self.done.fade(now)
+        self.limit = max(self.least(), CROWD * self.done.total / self.done.span)
         self.release(now)
 
 
