--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -27,6 +27,7 @@
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
 CROWD = 0.45                # mean time out that is let grow, in goal times
+ROOM = 3                    # dispatches out that any upstream may have
 HOLD = 0.15                 # of the goal time
 
 
@@ -104,10 +105,7 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.limit, self.queue, self.done = None, [], Sums(2 * S, core.now)
-
-    def least(self):
-        return 2.0 * max(SLICE_LEAST, len(self.core.pick.members))
+        self.queue = []
 
     def advice(self, now):
         if not self.core.settings.get("may_advise"):
@@ -115,9 +113,7 @@
         return min(self.core.settings.get("longest_advice_ns", S), int(S * (0.5 + self.core.chance())))
 
     def take(self, now, operation):
-        if self.limit is None:
-            self.limit = 3 * self.least()
-        if not self.queue and self.core.sent_out < self.limit and self.inner.take(now, operation):
+        if not self.queue and self.inner.take(now, operation):
             return True
         return self.hold(now, operation)
 
@@ -127,7 +123,7 @@
         self.queue.sort(key=lambda o: (-o.value, o.taken))
         self.core.later(now + int(HOLD * operation.grade["goal_ns"]), self.tired, operation)
         self.release(now)
-        while len(self.queue) > max(2, self.limit / 2):
+        while len(self.queue) > max(2, self.core.sent_out / 2):
             self.drop(now, self.queue[-1])
         return True
 
@@ -141,7 +137,7 @@
         self.core.answers.end(now, operation)
 
     def release(self, now):
-        while self.queue and self.core.sent_out < self.limit:
+        while self.queue:
             operation = self.queue[0]
             if not operation.over and not self.inner.take(now, operation):
                 return
@@ -149,17 +145,9 @@
             operation.waiting = False
 
     def ended(self, now, dispatch):
-        if dispatch.outcome == FULFILLED:
-            self.done.add(now, dispatch.operation.grade["goal_ns"])
         self.outer.ended(now, dispatch)
         self.release(now)
 
-    def review(self, now):
-        # Little's law: what is out, over what is fulfilled in a second, is the mean wait of what is sent next.
-        self.done.fade(now)
-        self.limit = max(self.least(), CROWD * self.done.total / self.done.span)
-        self.release(now)
-
 
 class Budget(Stage):
     """Adaptive Retry Budgeting."""
@@ -271,7 +259,7 @@
         for upstream, state, launched in rows:
             if upstream.times is None:
                 upstream.times, upstream.faults = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now)
-                upstream.faulty, upstream.slow = False, 1.0
+                upstream.faulty, upstream.slow, upstream.done = False, 1.0, Sums(2 * S, now)
             if launched > upstream.launched:
                 upstream.launched = launched
                 if now - launched < self.core.settings.get("warm_within_ns", 0):
@@ -341,10 +329,10 @@
     def take(self, now, operation):
         may = self.core.sender.may
         tried = [d.upstream for d in operation.dispatches]
-        fit = [u for u in self.members if u.weight > 0 and u not in tried and may(now, operation, u)]
+        fit = [u for u in self.members if u.weight > 0 and u not in tried and self.room(now, u) and (
+            may(now, operation, u))]
         if not fit:
-            fit = [u for u in self.ring if u.dark_since is None and may(now, operation, u)] or [
-                u for u in self.ring if may(now, operation, u)]
+            fit = [u for u in self.ring if u.dark_since is None and self.room(now, u) and may(now, operation, u)]
         if not fit:
             return False
         first = self.draw(fit)
@@ -354,6 +342,15 @@
             first = second
         return self.inner.send(now, operation, first)
 
+    def room(self, now, upstream):
+        # Little's law: what is out, over what is fulfilled in a second, is the mean time out of what is sent next.
+        # Against burying an upstream, and against filling one that answers nothing.
+        out = len(upstream.pending)
+        if out < ROOM:
+            return True
+        done = upstream.done.fade(now)
+        return out < CROWD * done.total / done.span
+
     def draw(self, fit):
         spot = self.core.chance() * sum(u.weight or TRICKLE for u in fit)
         for upstream in fit:
@@ -366,6 +363,7 @@
         upstream, grade, outcome = dispatch.upstream, dispatch.operation.grade, dispatch.outcome
         if outcome == FULFILLED:
             upstream.times.add(now, log(max(1, dispatch.took) / self.usual(grade)))
+            upstream.done.add(now, grade["goal_ns"])
             self.grades[grade["number"]].add(now, dispatch.took)
         elif outcome == TIMED_OUT or outcome == CALLED_OFF:
             waited = log(max(1, now - dispatch.sent) / self.usual(grade))
@@ -524,7 +522,7 @@
     def review(self, now, _):
         self.later(now + REVIEW, self.review, None)
         self.pick.review(now)
-        self.gate.review(now)
+        self.gate.release(now)
 
     def results(self):
         if self.agenda and (self.wanted is None or self.agenda[0][0] < self.wanted):
