--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -23,6 +23,7 @@
 SLICE_LEAST = 3
 TIMES_SPAN, FAULTS_SPAN = 6 * S, 4 * S
 AWAY = 0.4                  # weight of another zone's upstream, as crossing is dear and slow
+JUDGED = 0.3
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
@@ -260,6 +261,7 @@
             if upstream.times is None:
                 upstream.times, upstream.faults = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now)
                 upstream.faulty, upstream.slow, upstream.done = False, 1.0, Sums(2 * S, now)
+                upstream.near = 1.0
             if launched > upstream.launched:
                 upstream.launched = launched
                 if now - launched < self.core.settings.get("warm_within_ns", 0):
@@ -310,8 +312,8 @@
             upstream.slow = high * (1 + 4 * fault) / warmth
             upstream.faulty = fault > 0.3 and fair < 0.1
             near = 1.0 if upstream.zone == core.settings.get("zone", upstream.zone) else AWAY
-            weight = near * min(1.0, (middle / high) ** 2) * min(1.0, ((1 - fault) / (1 - fair)) ** 2 if fair < 1 else 1)
-            upstream.weight = max(TRICKLE, weight * warmth)
+            weight = min(1.0, (middle / high) ** 2) * min(1.0, ((1 - fault) / (1 - fair)) ** 2 if fair < 1 else 1)
+            upstream.weight, upstream.near = max(TRICKLE, weight * warmth), near
             if upstream.dark_since is not None:
                 upstream.weight = 0.0
                 if core.settings.get("may_probe"):
@@ -346,15 +348,18 @@
         # Little's law: what is out, over what is fulfilled in a second, is the mean time out of what is sent next.
         # Against burying an upstream, and against filling one that answers nothing.
         out = len(upstream.pending)
+        # Against quick errors, which look idle, drawing all that the crowded ones hold back.
+        if upstream.weight < JUDGED and self.core.chance() > upstream.weight:
+            return False
         if out < ROOM:
             return True
         done = upstream.done.fade(now)
         return out < CROWD * done.total / done.span
 
     def draw(self, fit):
-        spot = self.core.chance() * sum(u.weight or TRICKLE for u in fit)
+        spot = self.core.chance() * sum(u.weight * u.near or TRICKLE for u in fit)
         for upstream in fit:
-            spot -= upstream.weight or TRICKLE
+            spot -= upstream.weight * upstream.near or TRICKLE
             if spot < 0:
                 return upstream
         return fit[-1]
