--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -28,7 +28,7 @@
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
 CROWD = 0.45                # mean time out that is let grow, in goal times
-ROOM = 2                    # dispatches out that any upstream may have
+ROOM = 1                    # dispatches out that any upstream may have
 HOLD = 0.15                 # of the goal time
 
 
