--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -27,8 +27,8 @@
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
-CROWD = 0.45                # mean time out that is let grow, in goal times
-ROOM = 1                    # dispatches out that any upstream may have
+CROWD = 0.35                # mean time out that is let grow, in goal times
+ROOM = 2                    # dispatches out that any upstream may have
 HOLD = 0.15                 # of the goal time
 
 
