--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -28,7 +28,7 @@
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
 CROWD = 0.35                # mean time out that is let grow, in goal times
-ROOM = 2                    # dispatches out that any upstream may have
+ROOM = 8                    # dispatches that all callers may always have out at an upstream
 HOLD = 0.15                 # of the goal time
 
 
@@ -231,7 +231,7 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.listed, self.ring, self.members, self.extra = {}, [], [], 0
+        self.listed, self.ring, self.members, self.extra, self.floor = {}, [], [], 0, 1
         self.grades = [Sums(10 * S, core.now) for _ in core.settings["grades"]]
 
     def usual(self, grade):
@@ -286,6 +286,8 @@
         width = min(count, max(SLICE_LEAST, -(-count // core.balancers), -(-count // 2)) + self.extra)
         start = core.index * count // core.balancers
         self.members, fit = [], 0
+        # Against many callers that each find little out of their own and together bury an upstream.
+        self.floor = max(1, round(ROOM * count / (core.balancers * max(1, width))))
         for step in range(count):
             upstream = ring[(start + step) % count]
             if step >= width and fit >= SLICE_LEAST:
@@ -351,7 +353,7 @@
         # Against quick errors, which look idle, drawing all that the crowded ones hold back.
         if upstream.weight < JUDGED and self.core.chance() > upstream.weight:
             return False
-        if out < ROOM:
+        if out < self.floor:
             return True
         done = upstream.done.fade(now)
         return out < CROWD * done.total / done.span
