--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -28,7 +28,7 @@
 DARK_COLD = 1500 * MS       # dead for longer than this counts as a restart
 
 CROWD = 0.35                # mean time out that is let grow, in goal times
-ROOM = 8                    # dispatches that all callers may always have out at an upstream
+ROOM = 5                    # dispatches that all callers may always have out at an upstream
 HOLD = 0.15                 # of the goal time
 
 
