--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -169,14 +169,14 @@
         if not self.inner.take(now, operation):
             return False
         usual, patience = self.core.pick.usual(operation.grade), self.core.pick.patience(operation.grade)
-        if self.settings.get("may_call_off") and now + patience + usual < operation.goal_at:
+        if False:
             self.core.later(now + patience, self.tire, operation.dispatches[-1])
         return True
 
     def tire(self, now, dispatch):
         operation = dispatch.operation
-        if dispatch.outcome is None and not operation.over and not operation.streaming and (
-                self.granted(now, dispatch)):
+        if dispatch.outcome is None and dispatch.upstream.weight < JUDGED and not operation.over and (
+                not operation.streaming and self.granted(now, dispatch)):
             operation.again = True
             self.core.out.append(("call off", dispatch))
 
