--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -169,13 +169,13 @@
         if not self.inner.take(now, operation):
             return False
         usual, patience = self.core.pick.usual(operation.grade), self.core.pick.patience(operation.grade)
-        if False:
+        if self.settings.get("may_call_off") and now + patience + usual < operation.goal_at:
             self.core.later(now + patience, self.tire, operation.dispatches[-1])
         return True
 
     def tire(self, now, dispatch):
         operation = dispatch.operation
-        if dispatch.outcome is None and dispatch.upstream.weight < JUDGED and not operation.over and (
+        if dispatch.outcome is None and dispatch.upstream.answered < dispatch.sent and not operation.over and (
                 not operation.streaming and self.granted(now, dispatch)):
             operation.again = True
             self.core.out.append(("call off", dispatch))
@@ -350,6 +350,7 @@
             if outcome == UNCONNECTED and upstream.dark_since is None:
                 upstream.dark_since, upstream.probe_after, upstream.weight = now, now + 100 * MS, 0.0
             elif outcome not in (UNCONNECTED, TIMED_OUT):
+                upstream.answered = now
                 self.alive(now, upstream)
         self.outer.ended(now, dispatch)
 
