--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -10,8 +10,9 @@
 from math import exp, log, sqrt
 from zlib import crc32
 
-from pepperhook.model import (CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, TIMED_OUT,
-                              UNCONNECTED, Dispatch, Missing, Sums)
+from pepperhook.model import (
+    CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, TIMED_OUT, UNCONNECTED,
+    Dispatch, Missing, Sums)
 
 MS = 1_000_000
 S = 1000 * MS
@@ -23,10 +24,10 @@
 
 SLICE_LEAST, SLICE_PART = 3, 2
 AWAY = 0.4                  # weight of another zone's upstream: crossing is dear
-TIMES_SPAN, FAULTS_SPAN = 6 * S, 4 * S
+TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
-SURPRISE = 0.7              # an unanswered dispatch tells of slowness once it is out for e to this, in usual times
+SURPRISE = 0.7              # an unanswered dispatch tells of slowness once out for e to this usual times
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD = 0.35                # mean time out that is let grow, in goal times
 ROOM = 5                    # dispatches that all callers together may always have out at an upstream
@@ -59,7 +60,7 @@
         return True
 
     def due(self, now, operation):
-        # Against an operation kept back with nothing out; a dispatch that is out ends at the time limit by itself.
+        # Against an operation kept with nothing out; a dispatch that is out ends at the time limit by itself.
         if not operation.out and not operation.streaming:
             self.end(now, operation)
 
@@ -78,7 +79,8 @@
         if not self.settings.get("may_advise"):
             return 0
         # Against all that were shed coming back at once.
-        return int(min(self.settings.get("longest_advice_ns", S), (0.5 + self.core.chance()) * grade["goal_ns"]))
+        spread = 0.5 + self.core.chance()
+        return int(min(self.settings.get("longest_advice_ns", S), spread * grade["goal_ns"]))
 
     def ended(self, now, dispatch):
         if not dispatch.operation.out and not dispatch.operation.waiting:
@@ -168,16 +170,20 @@
     def take(self, now, operation):
         if not self.inner.take(now, operation):
             return False
-        usual, patience = self.core.pick.usual(operation.grade), self.core.pick.patience(operation.grade)
-        if self.settings.get("may_call_off") and now + patience + usual < operation.goal_at:
-            self.core.later(now + patience, self.tire, operation.dispatches[-1])
+        # A late answer that still earns is worth waiting for; one that does not leaves time for another dispatch.
+        grade, pick = operation.grade, self.core.pick
+        patience = now + pick.patience(grade)
+        if self.settings.get("may_call_off") and not grade["late_earnings"] and (
+                patience + pick.usual(grade) < operation.goal_at):
+            self.core.later(patience, self.tire, operation.dispatches[-1])
         return True
 
     def tire(self, now, dispatch):
         operation = dispatch.operation
-        if dispatch.outcome is None and dispatch.upstream.answered < dispatch.sent and not operation.over and (
-                not operation.streaming and self.granted(now, dispatch)):
-            operation.again = True
+        # Against a hang eating the goal time; a healthy upstream is let finish, as calling off stops no work.
+        operation.again = dispatch.outcome is None and dispatch.upstream.weight < JUDGED and not (
+            operation.over or operation.streaming) and self.granted(now, dispatch)
+        if operation.again:
             self.core.out.append(("call off", dispatch))
 
     def granted(self, now, dispatch):
@@ -199,7 +205,7 @@
             failed = outcome != FULFILLED
             self.refused.add(now, outcome == FULL)
             self.grades[number] += 0.1 * (failed - self.grades[number])
-            others = [f for other, f in enumerate(self.grades) if other != number]
+            others = self.grades[:number] + self.grades[number + 1:]
             # Against quick errors of one upstream, or one failing grade, halting retries for all.
             if not dispatch.upstream.faulty and not (
                     others and self.grades[number] > HIGH_F and max(others) < LOW_F):
@@ -248,7 +254,8 @@
         self.review(now)
 
     def forget(self, now, upstream):
-        upstream.times, upstream.faults, upstream.done = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now), Sums(2 * S, now)
+        upstream.times, upstream.faults = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now)
+        upstream.done = Sums(DONE_SPAN, now)
         upstream.faulty, upstream.slow, upstream.near = False, 1.0, 1.0
 
     def chill(self, now, upstream, since):
@@ -271,9 +278,10 @@
             fit += upstream.dark_since is None
         if not self.members:
             return
-        highs, faults = [self.high(now, u) for u in self.members], [u.faults.mean(now, 0, 2) for u in self.members]
+        highs = [self.high(now, u) for u in self.members]
+        faults = [u.faults.mean(now, 0, 2) for u in self.members]
         # Against the rest being buried: slowness and faults that most share are nobody's own.
-        middle, fair = sorted(highs)[count_half(highs)], sorted(faults)[count_half(faults)]
+        middle, fair = sorted(highs)[len(highs) // 2], sorted(faults)[len(highs) // 2]
         for upstream, high, fault in zip(self.members, highs, faults):
             warmth = core.sender.warmth(now, upstream)
             upstream.faulty = fault > 0.3 and fair < 0.1
@@ -310,8 +318,8 @@
         # Against quick errors, which look idle, drawing all that the crowded ones hold back.
         if upstream.weight < JUDGED and self.core.chance() >= upstream.weight:
             return False
-        # Little's law: what is out, over what is fulfilled in a second, is the mean time out of the next. Against
-        # burying an upstream, and against one that answers nothing filling the balancer.
+        # Little's law: what is out, over what is fulfilled in a second, is the mean time out of the next.
+        # Against burying an upstream, and against one that answers nothing filling the balancer.
         out, done = len(upstream.pending), upstream.done.fade(now)
         return out < self.floor or out < CROWD * done.total / done.span
 
@@ -350,7 +358,6 @@
             if outcome == UNCONNECTED and upstream.dark_since is None:
                 upstream.dark_since, upstream.probe_after, upstream.weight = now, now + 100 * MS, 0.0
             elif outcome not in (UNCONNECTED, TIMED_OUT):
-                upstream.answered = now
                 self.alive(now, upstream)
         self.outer.ended(now, dispatch)
 
@@ -366,10 +373,6 @@
             self.alive(now, upstream)
 
 
-def count_half(values):
-    return len(values) // 2
-
-
 class Sender(Stage):
     """The one place that sends, guarding that nothing goes out after the end (rule 1) and rules 2, 3 and 4."""
 
@@ -403,7 +406,7 @@
         warmth = self.warmth(now, upstream)
         if warmth == 1.0:
             return True
-        # A warm one bears what it gets; a cold one gets no more of that than the capacity it surely has, evenly.
+        # A warm one bears its load; a cold one gets that share of it which it surely can do, evenly.
         rate = self.core.budget.rate.rate(now) / max(1, len(self.core.pick.members))
         upstream.allowance = min(1.0, upstream.allowance + (now - upstream.allowed_at) / S * rate * warmth)
         upstream.allowed_at = now
@@ -434,7 +437,8 @@
     """Asks where asking is wanted, spread out so that all instances together don't bury the list."""
 
     def __init__(self, core):
-        self.core, self.asks, self.within = core, core.settings.get("asks"), core.settings.get("ask_within_ns", 10 * S)
+        self.core, self.asks = core, core.settings.get("asks")
+        self.within = core.settings.get("ask_within_ns", 10 * S)
         self.watching, self.asked, self.failures = False, core.now, 0
         if self.asks:
             core.later(core.now + int(core.chance() * min(S, self.within / 8)), self.ask, None)
