--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -1,11 +1,12 @@
 """The types the decisions work on, and the interface they are called through.
 
-A host (see ``pepperhook/wirehost``) owns one ``policy.Balancer`` for each balancer it runs and calls it as things
-happen. Every call takes ``now`` (whole nanoseconds) and returns a list of results, plain tuples in sending order:
+A host (see ``pepperhook/wirehost``) owns one ``policy.Balancer`` for each balancer it runs and calls it as
+things happen. Every call takes ``now`` (whole nanoseconds) and returns a list of results, plain tuples in
+the order in which they are to be carried out:
 
     ("dispatch", dispatch, for_ns)    send dispatch.operation to dispatch.upstream, give up after for_ns
-    ("call off", dispatch)            stop waiting for it; its end is still to be reported
-    ("shed", operation, after_ns)     final answer: turned away, harmless to try again (after after_ns, if not 0)
+    ("call off", dispatch)            stop waiting for it; how it ended is still to be reported
+    ("shed", operation, after_ns)     final answer: turned away, harmless to try again (0: no advice when)
     ("break off", operation)          final answer: failed, promising nothing
     ("probe", upstream)               ask whether it lives
     ("watch",) / ("fetch",)           ask discovery for changes from now on / for its whole list once
@@ -31,7 +32,10 @@
 ``settings`` is a plain map of names to values, times in nanoseconds under names that end in ``_ns``.
 """
 
+from functools import wraps
+from heapq import heappop, heappush
 from math import exp
+from zlib import crc32
 
 READY, DRAINING, GONE = "ready", "draining", "gone"
 FULFILLED, ERROR, FULL, TIMED_OUT = "fulfilled", "error", "full", "timed out"
@@ -124,3 +128,62 @@
     @property
     def may_have_run(self):
         return self.outcome not in NEVER_RAN
+
+
+class Stage:
+    """Passes everything on; take() tells whether the operation was passed on or kept."""
+
+    def __init__(self, core):
+        self.core, self.settings, self.inner, self.outer = core, core.settings, None, None
+
+    def take(self, now, operation):
+        return self.inner.take(now, operation)
+
+    def ended(self, now, dispatch):
+        self.outer.ended(now, dispatch)
+
+
+def chain(stages):
+    """Joins stages, the outermost first."""
+    stages = list(stages)
+    for outer, inner in zip(stages, stages[1:]):
+        outer.inner, inner.outer = inner, outer
+    return stages
+
+
+def call(work):
+    """A call from outside: keeps the clock, and hands over what came of it and the next wake-up."""
+    @wraps(work)
+    def wrapped(self, now, *rest):
+        self.now = now
+        work(self, now, *rest)
+        if self.agenda and (self.wanted is None or self.agenda[0][0] < self.wanted):
+            self.wanted = self.agenda[0][0]
+            self.out.append(("wake", self.wanted))
+        out, self.out = self.out, []
+        return out
+    return wrapped
+
+
+class Clockwork:
+    """Time, chance and wake-ups of one instance; all chance comes from its seed and a counter."""
+
+    def __init__(self, seed, now):
+        self.seed, self.now, self.counter = seed, now, 0
+        self.out, self.agenda, self.wanted = [], [], None
+
+    def chance(self):
+        self.counter += 1
+        return crc32(b"%d %d" % (self.seed, self.counter)) / 2 ** 32
+
+    def later(self, at, what, about):
+        self.counter += 1
+        heappush(self.agenda, (at, self.counter, what, about))
+
+    @call
+    def wake(self, now):
+        if self.wanted is not None and now >= self.wanted:
+            self.wanted = None
+        while self.agenda and self.agenda[0][0] <= now:
+            _, _, what, about = heappop(self.agenda)
+            what(now, about)
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -1,18 +1,16 @@
-"""Every decision of pepperhook. A host makes one Balancer for each instance, calls it as things happen and carries
-out the results that each call returns; calls, results and types are described in pepperhook/model.py.
+"""Every decision of pepperhook. A host makes one Balancer for each instance, calls it as things happen
+and carries out the results that each call returns; pepperhook/model.py documents calls, results and types.
 The ordinary path is Adaptive Retry Budgeting (ARB) over slices with two choices: docs/design.md.
 
 An operation goes down the chain Answers > Shares > Gate > Budget > Pick > Sender; what comes back goes up it.
 """
 
-from functools import wraps
-from heapq import heappop, heappush
 from math import exp, log, sqrt
 from zlib import crc32
 
 from pepperhook.model import (
     CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, TIMED_OUT, UNCONNECTED,
-    Dispatch, Missing, Sums)
+    Clockwork, Dispatch, Missing, Stage, Sums, call, chain)
 
 MS = 1_000_000
 S = 1000 * MS
@@ -20,7 +18,7 @@
 
 B0, ALPHA, BETA, HIGH_F, LOW_F, T = 0.2, 0.1, 0.5, 0.3, 0.05, S
 RATE_SPAN = 5 * S           # smoothing of the base load
-OVERLOAD_UTIL, OVERLOAD_REFUSED = 0.9, 0.1
+OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
 
 SLICE_LEAST, SLICE_PART = 3, 2
 AWAY = 0.4                  # weight of another zone's upstream: crossing is dear
@@ -34,19 +32,6 @@
 HOLD = 0.15                 # longest wait at the gate, in goal times
 
 
-class Stage:
-    """Passes everything on; take() tells whether the operation was passed on or kept."""
-
-    def __init__(self, core):
-        self.core, self.settings, self.inner, self.outer = core, core.settings, None, None
-
-    def take(self, now, operation):
-        return self.inner.take(now, operation)
-
-    def ended(self, now, dispatch):
-        self.outer.ended(now, dispatch)
-
-
 class Answers(Stage):
     """Rule 1: the one place that gives final answers, and the timer that has one given in time."""
 
@@ -71,17 +56,13 @@
         grade = operation.grade
         if grade["effect"] == RETRIABLE or not any(d.may_have_run for d in operation.dispatches) or (
                 grade["effect"] == FINGERPRINTED and grade["group"] == "all"):
-            self.core.out.append(("shed", operation, self.advice(grade)))
+            # Advice is spread out, against all that were shed coming back at once.
+            advice = int((0.5 + self.core.chance()) * grade["goal_ns"])
+            longest = self.settings.get("longest_advice_ns", S) if self.settings.get("may_advise") else 0
+            self.core.out.append(("shed", operation, min(advice, longest)))
         else:
             self.core.out.append(("break off", operation))
 
-    def advice(self, grade):
-        if not self.settings.get("may_advise"):
-            return 0
-        # Against all that were shed coming back at once.
-        spread = 0.5 + self.core.chance()
-        return int(min(self.settings.get("longest_advice_ns", S), spread * grade["goal_ns"]))
-
     def ended(self, now, dispatch):
         if not dispatch.operation.out and not dispatch.operation.waiting:
             self.end(now, dispatch.operation)
@@ -170,7 +151,7 @@
     def take(self, now, operation):
         if not self.inner.take(now, operation):
             return False
-        # A late answer that still earns is worth waiting for; one that does not leaves time for another dispatch.
+        # A late answer that still earns is waited for; one that does not leaves time for another dispatch.
         grade, pick = operation.grade, self.core.pick
         patience = now + pick.patience(grade)
         if self.settings.get("may_call_off") and not grade["late_earnings"] and (
@@ -210,14 +191,14 @@
             if not dispatch.upstream.faulty and not (
                     others and self.grades[number] > HIGH_F and max(others) < LOW_F):
                 self.f += 0.1 * (failed - self.f)
-            if failed and not operation.over and not operation.out and (again or self.granted(now, dispatch)) and (
-                    self.take(now, operation)):
+            open_still = failed and not operation.over and not operation.out
+            if open_still and (again or self.granted(now, dispatch)) and self.take(now, operation):
                 return
         self.outer.ended(now, dispatch)
 
 
 class Pick(Stage):
-    """A slice by own index, then the less busy of two random members; the sick and the cold are passed over."""
+    """A slice by own index, then the less busy of two random members; sick and cold ones are passed over."""
 
     def __init__(self, core):
         super().__init__(core)
@@ -233,8 +214,8 @@
         return int(max(0.25 * grade["goal_ns"], mean + 3 * spread))
 
     def utilisation(self, now):
-        known = [u.report["utilisation"] for u in self.members
-                 if u.report and "utilisation" in u.report and now - u.report_at < 3 * S]
+        known = [u.report["utilisation"] for u in self.members if now - u.report_at < FRESH and u.report
+                 and "utilisation" in u.report]
         return sum(known) / len(known) if len(known) * 2 > len(self.members) else None
 
     def listing(self, now, whole, rows):
@@ -265,9 +246,9 @@
 
     def review(self, now):
         core, count = self.core, len(self.ring)
-        width = min(count, max(SLICE_LEAST, -(-count // core.balancers), -(-count // SLICE_PART)) + self.extra)
+        width = max(SLICE_LEAST, -(-count // core.balancers), -(-count // SLICE_PART)) + self.extra
         # Against many callers that each find little out of their own and together bury an upstream.
-        self.floor = max(1, round(ROOM * count / (core.balancers * max(1, width))))
+        self.floor = max(1, round(ROOM * count / (core.balancers * max(1, min(count, width)))))
         self.members, fit = [], 0
         for step in range(count):
             upstream = self.ring[(core.index * count // core.balancers + step) % count]
@@ -285,7 +266,7 @@
         for upstream, high, fault in zip(self.members, highs, faults):
             warmth = core.sender.warmth(now, upstream)
             upstream.faulty = fault > 0.3 and fair < 0.1
-            upstream.slow = high * (1 + 4 * fault) / warmth
+            upstream.slow = high * (1 + 4 * fault)
             upstream.near = 1.0 if upstream.zone == self.settings.get("zone", upstream.zone) else AWAY
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
             upstream.weight = max(TRICKLE, warmth * (min(1.0, middle / high) * sound) ** 2)
@@ -295,7 +276,7 @@
         self.extra = min(count, self.extra + 1) if busy > 3 else max(0, self.extra - (busy < 1.5))
 
     def high(self, now, upstream):
-        """A high quantile of its answer times, in usual times; what is out for long counts as answered now."""
+        """A high quantile of its answer times, in usual times; what is long out counts as answered now."""
         sums = upstream.times.fade(now)
         weight, total, squares = sums.weight + 2, sums.total, sums.squares + 1
         for dispatch in upstream.pending:
@@ -307,12 +288,11 @@
 
     def look(self, now, upstream):
         upstream.weight = 0.0
-        if now >= upstream.probe_after:
-            if not self.settings.get("may_probe"):
-                upstream.weight = TRICKLE
-            elif not upstream.probing:
-                upstream.probing = True
-                self.core.out.append(("probe", upstream))
+        if now >= upstream.probe_after and not self.settings.get("may_probe"):
+            upstream.weight = TRICKLE
+        elif now >= upstream.probe_after and not upstream.probing:
+            upstream.probing = True
+            self.core.out.append(("probe", upstream))
 
     def room(self, now, upstream):
         # Against quick errors, which look idle, drawing all that the crowded ones hold back.
@@ -330,9 +310,8 @@
                 self.core.sender.may(now, operation, u))]
             if fit:
                 first = self.draw(fit)
-                second = self.draw([u for u in fit if u is not first] or fit)
-                pick = min(first, second, key=lambda u: (len(u.pending), u.slow))
-                return self.inner.send(now, operation, pick)
+                pair = first, self.draw([u for u in fit if u is not first] or fit)
+                return self.inner.send(now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
         return False
 
     def draw(self, fit):
@@ -374,7 +353,7 @@
 
 
 class Sender(Stage):
-    """The one place that sends, guarding that nothing goes out after the end (rule 1) and rules 2, 3 and 4."""
+    """The one place that sends; guards that nothing follows the end (rule 1), and rules 2, 3 and 4."""
 
     def warmth(self, now, upstream):
         """The share of its capacity that it surely has."""
@@ -439,7 +418,7 @@
     def __init__(self, core):
         self.core, self.asks = core, core.settings.get("asks")
         self.within = core.settings.get("ask_within_ns", 10 * S)
-        self.watching, self.asked, self.failures = False, core.now, 0
+        self.watching, self.asked = False, core.now
         if self.asks:
             core.later(core.now + int(core.chance() * min(S, self.within / 8)), self.ask, None)
 
@@ -450,53 +429,28 @@
 
     def failed(self, now):
         if self.asks:
-            self.watching, self.failures = False, self.failures + 1
-            span = min(self.within / 4, S * 2 ** min(self.failures, 3))
-            self.core.later(now + int(span * (0.3 + 0.7 * self.core.chance())), self.ask, None)
+            self.watching = False
+            self.core.later(now + int(self.within * (0.03 + 0.25 * self.core.chance())), self.ask, None)
 
     def silent(self, now):
         return self.asks and not self.watching and now - self.asked > self.within
 
 
-def call(work):
-    """A call from outside: keeps the clock, and hands over what came of it and the next wake-up."""
-    @wraps(work)
-    def wrapped(self, now, *rest):
-        self.now = now
-        work(self, now, *rest)
-        if self.agenda and (self.wanted is None or self.agenda[0][0] < self.wanted):
-            self.wanted = self.agenda[0][0]
-            self.out.append(("wake", self.wanted))
-        out, self.out = self.out, []
-        return out
-    return wrapped
-
-
-class Balancer:
+class Balancer(Clockwork):
     """One balancer: its chain, its clockwork and the calls from outside."""
 
     def __init__(self, settings, seed, now):
         if not settings.get("grades"):
             raise Missing("settings: grades is missing")
-        self.settings, self.seed, self.now, self.counter = settings, seed, now, 0
+        super().__init__(seed, now)
+        self.settings, self.sent_out = settings, 0
         self.balancers = max(1, settings.get("balancers", 1))
         self.index = settings.get("me", 0) % self.balancers
-        self.out, self.agenda, self.wanted, self.sent_out = [], [], None, 0
-        stages = [stage(self) for stage in (Answers, Shares, Gate, Budget, Pick, Sender)]
-        for outer, inner in zip(stages, stages[1:]):
-            outer.inner, inner.outer = inner, outer
-        self.answers, self.shares, self.gate, self.budget, self.pick, self.sender = stages
+        self.answers, _, self.gate, self.budget, self.pick, self.sender = chain(
+            stage(self) for stage in (Answers, Shares, Gate, Budget, Pick, Sender))
         self.discovery = Discovery(self)
         self.later(now + REVIEW, self.review, None)
 
-    def chance(self):
-        self.counter += 1
-        return crc32(b"%d %d" % (self.seed, self.counter)) / 2 ** 32
-
-    def later(self, at, what, about):
-        self.counter += 1
-        heappush(self.agenda, (at, self.counter, what, about))
-
     def review(self, now, _):
         self.later(now + REVIEW, self.review, None)
         self.pick.review(now)
@@ -504,7 +458,6 @@
 
     @call
     def listing(self, now, whole, rows):
-        self.discovery.failures = 0
         self.pick.listing(now, whole, rows)
 
     @call
@@ -541,11 +494,3 @@
     @call
     def heard(self, now, peer, body):
         """Peers tell nothing that is acted on."""
-
-    @call
-    def wake(self, now):
-        if self.wanted is not None and now >= self.wanted:
-            self.wanted = None
-        while self.agenda and self.agenda[0][0] <= now:
-            _, _, what, about = heappop(self.agenda)
-            what(now, about)
--- a/pepperhook/wirehost/__init__.py
+++ b/pepperhook/wirehost/__init__.py
@@ -1,1 +1,1 @@
-"""The bench's wire on standard input and output: decodes into calls on the decisions, encodes from results."""
+"""The bench's wire on standard input and output: decodes into calls, encodes from results."""
--- a/pepperhook/wirehost/instance.py
+++ b/pepperhook/wirehost/instance.py
@@ -17,6 +17,7 @@
 TOKEN = struct.Struct(">I")
 NUMBER = struct.Struct(">Q")
 FLEET = struct.Struct(">IBB")
+SEND = struct.Struct(">Q6sI")
 MEMO = struct.Struct(">IH")
 ATTACH = struct.Struct(">QI")
 US = 1000
@@ -71,8 +72,9 @@
     def query(self, now, body, _):
         number, grade, customer, key, not_after, cost, marks = codec.unpack(QUERY, body, "QUERY")
         operation = model.Operation(number, self.grades[min(grade, len(self.grades) - 1)],
-                                    customer if customer < self.customers else None, key or None, not_after * US,
-                                    cost * US if marks & 1 and cost else None, bool(marks & 2))
+                                    customer if customer < self.customers else None, key or None,
+                                    not_after * US, cost * US if marks & 1 and cost else None,
+                                    bool(marks & 2))
         self.operations[number] = operation
         return self.balancer.take(now, operation)
 
@@ -106,8 +108,9 @@
 
     def sampled(self, now, body, _):
         address, outcome, took = codec.unpack(SAMPLED, body, "SAMPLED")
-        return self.balancer.probed(now, self.upstream(address), OUTCOMES.get(outcome, model.ERROR), took * US,
-                                    self.report(codec.read_floats(body, SAMPLED.size, "SAMPLED")))
+        report = self.report(codec.read_floats(body, SAMPLED.size, "SAMPLED"))
+        return self.balancer.probed(now, self.upstream(address), OUTCOMES.get(outcome, model.ERROR),
+                                    took * US, report)
 
     def report(self, values):
         return dict(zip(self.fields, values)) if values else None
@@ -126,7 +129,7 @@
         if what == "dispatch":
             _, dispatch, for_ns = result
             span = min(MOST_U32, max(1, for_ns // US))
-            return codec.record(6, struct.pack(">Q6sI", dispatch.operation.id, dispatch.upstream.address, span))
+            return codec.record(6, SEND.pack(dispatch.operation.id, dispatch.upstream.address, span))
         if what == "wake":
             return codec.record(5, struct.pack(">QI", -(-result[1] // US), 0))
         if what == "call off":
--- a/pepperhook/wirehost/settings.py
+++ b/pepperhook/wirehost/settings.py
@@ -4,7 +4,8 @@
 
 EFFECTS = {"idempotent": model.RETRIABLE, "deduplicated": model.FINGERPRINTED, "at_most_once": model.BINDING}
 REPORT_WORDS = {"outstanding": "in flight", "backlog": "waiting", "utilization": "utilisation",
-                "recent_ms": "service time ms", "throughput": "per second", "errors_per_s": "errors per second"}
+                "recent_ms": "service time ms", "throughput": "per second",
+                "errors_per_s": "errors per second"}
 # wire path -> (our name, factor); what is absent stays absent, the decisions know what absence means
 PLAIN = {
     ("me",): ("me", 1), ("groupSize",): ("balancers", 1), ("tier",): ("tier", 1), ("locality",): ("zone", 1),
@@ -15,7 +16,8 @@
     ("permissions", "maxDispatches"): ("most_dispatches", 1),
     ("permissions", "maxRetryAfterUs"): ("longest_advice_ns", 1000),
     ("permissions", "connectTimeoutUs"): ("connect_limit_ns", 1000),
-    ("safety", "answerSlackUs"): ("answer_slack_ns", 1000), ("safety", "askWithinUs"): ("ask_within_ns", 1000),
+    ("safety", "answerSlackUs"): ("answer_slack_ns", 1000),
+    ("safety", "askWithinUs"): ("ask_within_ns", 1000),
     ("safety", "drainGraceUs"): ("drain_grace_ns", 1000), ("safety", "fallMultiple"): ("fall_multiple", 1),
     ("safety", "fallUs"): ("fall_ns", 1000), ("safety", "startCapacity"): ("start_capacity", 1),
     ("safety", "warmWithinUs"): ("warm_within_ns", 1000),
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,130 @@
+"""Seeded random runs, in which the world checks the rules after every step."""
+
+import pytest
+
+from pepperhook import model, policy
+from tests.world import MS, S, World
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_while_lists_change_and_upstreams_fail(seed):
+    world = World(seed, may_overlap=seed % 3 == 0, may_advise=seed % 2 == 0)
+    world.generous = True
+    for _ in range(30):
+        world.run(60, chance=world.random.choice([0.05, 0.3, 0.9]))
+        rows = [(u, world.random.choice([model.READY] * 3 + [model.DRAINING, model.GONE]),
+                 world.random.choice([0, world.now - S])) for u in world.random.sample(world.upstreams, 3)]
+        world.play(world.balancer.listing(world.now, world.random.random() < 0.2, rows))
+        if world.taken and world.random.random() < 0.3:
+            gone = world.taken[-1]
+            if gone not in world.answered:
+                world.answered[gone] = "left"
+                world.play(world.balancer.left(world.now, gone))
+    assert sum(1 for _, d in world.sends if d.number) > 3, "the run must see repeats to check them"
+
+
+def test_a_restarted_balancer_knows_nothing_of_what_it_held():
+    world = World(5)
+    world.run(300, chance=0.5)
+    world.ends, world.wakes, world.taken = [], [], []
+    world.start()
+    world.run(300, chance=0.5)
+    assert set(world.answered.values()) & {"fulfilled"}
+
+
+def test_all_upstreams_dead_is_answered_in_time_and_recovers():
+    world = World(3)
+    world.fate = lambda dispatch: model.UNCONNECTED
+    world.run(1500, chance=0.3)
+    assert "fulfilled" not in world.answered.values()
+    world.fate = lambda dispatch: model.FULFILLED
+    world.run(6000, chance=0.3)
+    late = [world.answered.get(o) for o in world.taken[-100:-20]]
+    assert late.count("fulfilled") > 70
+
+
+def test_cold_upstream_gets_no_more_than_its_share_even_at_once():
+    world = World(4, balancers=1)
+    world.fate = lambda dispatch: model.FULFILLED
+    world.run(3000, chance=0.2)
+    cold = world.balancer.pick.members[0]
+    begun = world.now
+    world.play(world.balancer.listing(world.now, False, [(cold, model.READY, world.now)]))
+    world.run(500, chance=0.2)
+    warm = sum(1 for at, d in world.sends if d.upstream is not cold and at > begun) / 7
+    got = sum(1 for at, d in world.sends if d.upstream is cold and at > begun)
+    start = world.settings["start_capacity"]
+    assert 0 < got <= 2.5 * (start + 0.1) * warm
+
+
+def test_budget_halves_on_high_f_and_recovers_by_steps():
+    world = World(6)
+    budget = world.balancer.budget
+    budget.f, world.now = 0.5, world.now + S
+    budget.adjust(world.now, None)
+    assert budget.B == policy.B0 / 2
+    budget.f = 0.1
+    budget.adjust(world.now, None)
+    assert budget.B == policy.B0 / 2
+    budget.f, budget.B = 0.0, 0.05
+    budget.adjust(world.now, None)
+    assert abs(budget.B - 0.15) < 1e-9
+    budget.adjust(world.now, None)
+    assert budget.B == policy.B0
+
+
+def test_retries_come_with_the_budgets_chance_and_cost():
+    world = World(7)
+    budget, operation = world.balancer.budget, world.offer(0)
+    dispatch, granted = operation.dispatches[0], 0
+    for _ in range(2000):
+        budget.B, budget.f = 0.2, 0.1
+        if budget.granted(world.now, dispatch):
+            granted += 1
+            assert budget.B == pytest.approx(0.2 - 1 / max(1, budget.rate.rate(world.now)) if
+                                             budget.rate.rate(world.now) > 5 else 0.0)
+    assert 320 < granted < 480
+    budget.B = 0.0
+    assert not any(budget.granted(world.now, dispatch) for _ in range(100))
+
+
+def test_quick_errors_of_one_upstream_neither_draw_traffic_nor_halt_retries():
+    world = World(8)
+    bad = world.balancer.pick.members[0]
+    world.fate = lambda dispatch: model.ERROR if dispatch.upstream is bad else model.FULFILLED
+    world.span = lambda dispatch: 2 * MS if dispatch.upstream is bad else 60 * MS
+    world.run(5000, chance=0.2)
+    last = [d for at, d in world.sends if at > world.now - 5 * S]
+    assert sum(d.upstream is bad for d in last) < 0.04 * len(last)
+    assert world.balancer.budget.f < policy.HIGH_F and world.balancer.budget.B > 0.1
+
+
+def test_a_hung_upstream_is_passed_over_and_a_slow_fleet_blames_nobody():
+    world = World(9)
+    hung = world.balancer.pick.members[0]
+    world.fate = lambda dispatch: None if dispatch.upstream is hung else model.FULFILLED
+    world.run(4000, chance=0.2)
+    last = [d for at, d in world.sends if at > world.now - 4 * S]
+    assert sum(d.upstream is hung for d in last) < 0.08 * len(last)
+    world.fate, world.span = (lambda dispatch: model.FULFILLED), (lambda dispatch: 600 * MS)
+    world.run(8000, chance=0.02)
+    assert all(u.weight > 0.3 for u in world.balancer.pick.members)
+
+
+def test_slices_cover_all_upstreams():
+    covered = set()
+    for index in range(4):
+        world = World(10, me=index, balancers=4)
+        assert len(world.balancer.pick.members) >= 3
+        covered |= {u.address for u in world.balancer.pick.members}
+    assert len(covered) == 8
+
+
+def test_silence_counts_as_being_told_where_discovery_is_asked():
+    world = World(11, asks=True, ask_within_ns=10 * S)
+    world.run(700)
+    assert world.watched
+    world.play(world.balancer.listing_failed(world.now))
+    world.balancer.agenda.clear()
+    world.now, before = world.now + 11 * S, len(world.sends)
+    assert world.offer(0).dispatches == [] and len(world.sends) == before
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,136 @@
+"""A small world around one balancer: it plays every outcome and checks the four rules and ARB after every step."""
+
+import random
+
+from pepperhook import model, policy
+
+MS, S = 10 ** 6, 10 ** 9
+FATES = [model.FULFILLED] * 30 + [model.ERROR, model.FULL, model.UNCONNECTED, model.RESET, model.TIMED_OUT, None]
+
+
+def grade(number, effect=model.RETRIABLE, **more):
+    return {"number": number, "limit_ns": 2 * S, "goal_ns": S, "effect": effect, "group": "all", "window_ns": S,
+            "earnings": 1.0, "late_earnings": 0.0, "stream": False, **more}
+
+
+def settings(**more):
+    return {"me": 0, "balancers": 2, "tier": 0, "zone": 0, "customers": [{"quota": 40.0, "share": 1.0}],
+            "grades": [grade(0), grade(1, model.BINDING),
+                       grade(2, model.FINGERPRINTED, group="cell", window_ns=S // 2)],
+            "tick_ns": MS, "may_call_off": True, "may_probe": True, "most_dispatches": 3, "drain_grace_ns": S,
+            "fall_multiple": 2.5, "fall_ns": S, "start_capacity": 0.2, "warm_within_ns": 10 * S, **more}
+
+
+class World:
+    """Holds what is under way; play() carries out what the balancer wants and checks it."""
+
+    def __init__(self, seed, **more):
+        self.random, self.now = random.Random(seed), 7 * S
+        self.settings = settings(**more)
+        self.upstreams = [model.Upstream(bytes([n] * 6), zone=n % 2, cell=n % 3) for n in range(8)]
+        self.ends, self.answered, self.taken, self.wakes, self.sends = [], {}, [], [], []
+        self.fate = lambda dispatch: self.random.choice(FATES)
+        self.span = lambda dispatch: self.random.randrange(5 * MS, 300 * MS)
+        self.generous = False
+        self.start()
+
+    def start(self):
+        self.balancer = policy.Balancer(self.settings, self.random.getrandbits(64), self.now)
+        self.play(self.balancer.wake(self.now))
+        self.play(self.balancer.listing(self.now, True, [(u, model.READY, 0) for u in self.upstreams]))
+
+    def play(self, results):
+        for result in results:
+            getattr(self, "do_" + result[0].replace(" ", "_"))(*result[1:])
+        budget = self.balancer.budget
+        if self.generous:
+            # Repeats many enough to check what guards them.
+            budget.B, budget.f = policy.B0, 0.0
+            for upstream in self.upstreams:
+                upstream.faulty = True
+        assert 0 <= budget.B <= policy.B0 and 0 <= budget.f <= 1
+        assert len({u for u in self.balancer.pick.members}) >= min(3, len(self.balancer.pick.ring))
+
+    def do_dispatch(self, dispatch, for_ns):
+        operation, upstream = dispatch.operation, dispatch.upstream
+        earlier = operation.dispatches[:-1]
+        maybe = [d for d in earlier if d.outcome not in model.NEVER_RAN]
+        assert operation not in self.answered and self.now < operation.not_after
+        assert 0 < for_ns <= operation.not_after - self.now
+        assert upstream.state == model.READY
+        assert len(operation.dispatches) <= self.settings["most_dispatches"]
+        assert self.settings.get("may_overlap") or all(d.outcome for d in earlier)
+        effect = operation.grade["effect"]
+        assert not (maybe and effect == model.BINDING)
+        if maybe and effect == model.FINGERPRINTED:
+            assert self.now <= maybe[0].sent + operation.grade["window_ns"]
+            assert all(d.upstream.cell == upstream.cell for d in maybe)
+        self.sends.append((self.now, dispatch))
+        fate, span = self.fate(dispatch), self.span(dispatch)
+        if fate in (None, model.TIMED_OUT) or span >= for_ns:
+            fate, span = model.TIMED_OUT, for_ns
+        self.ends.append((self.now + span, dispatch, fate))
+
+    def do_call_off(self, dispatch):
+        assert self.settings["may_call_off"] and dispatch.outcome is None
+        self.ends = [e for e in self.ends if e[1] is not dispatch] + [(self.now, dispatch, model.CALLED_OFF)]
+
+    def final(self, operation, what):
+        assert operation not in self.answered and self.now <= operation.not_after
+        self.answered[operation] = what
+
+    def do_shed(self, operation, after_ns):
+        maybe = any(d.outcome not in model.NEVER_RAN for d in operation.dispatches)
+        assert operation.grade["effect"] == model.RETRIABLE or not maybe
+        assert self.settings.get("may_advise") or after_ns == 0
+        self.final(operation, "shed")
+
+    def do_break_off(self, operation):
+        self.final(operation, "broken off")
+
+    def do_probe(self, upstream):
+        assert self.settings["may_probe"]
+        self.ends.append((self.now + 5 * MS, upstream, self.random.choice([model.FULFILLED, model.TIMED_OUT])))
+
+    def do_watch(self):
+        self.watched = self.now
+
+    def do_wake(self, at):
+        self.wakes.append(at)
+
+    def do_note(self, text):
+        pass
+
+    def offer(self, number=None, limit=2 * S):
+        grades = self.settings["grades"]
+        chosen = grades[number] if number is not None else self.random.choice(grades)
+        operation = model.Operation(len(self.taken), chosen, 0, None, self.now + limit)
+        self.taken.append(operation)
+        self.play(self.balancer.take(self.now, operation))
+        return operation
+
+    def step(self, span=2 * MS):
+        """Lets time pass, with wake-ups that may be early, late or doubled, and ends what is due."""
+        self.now += span
+        due = [e for e in self.ends if e[0] <= self.now]
+        self.ends = [e for e in self.ends if e[0] > self.now]
+        for _, what, fate in sorted(due, key=lambda e: e[0]):
+            if isinstance(what, model.Upstream):
+                self.play(self.balancer.probed(self.now, what, fate, 5 * MS))
+                continue
+            operation, late = what.operation, what.operation in self.answered
+            if fate == model.FULFILLED and not late:
+                self.final(operation, "fulfilled")
+            self.play(self.balancer.ended(self.now, what, fate, self.now - what.sent, operation in self.answered))
+        wanted = [at for at in self.wakes if at <= self.now]
+        self.wakes = [at for at in self.wakes if at > self.now]
+        for _ in wanted or [0] * (self.random.random() < 0.05):
+            self.play(self.balancer.wake(self.now))
+        overdue = [o for o in self.taken if o not in self.answered and o.not_after < self.now]
+        assert not overdue, f"{len(overdue)} operations without a final answer"
+
+    def run(self, steps, chance=0.15):
+        for _ in range(steps):
+            if self.random.random() < chance:
+                self.offer()
+            self.step()
