--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -174,10 +174,7 @@
             return False
         # Against quick errors of one upstream: its fellows can still serve what it failed, within the budget.
         chance = 1 - self.f if dispatch.upstream.faulty else min(self.B, 1 - self.f)
-        if self.core.chance() >= chance:
-            return False
-        self.B = max(0.0, self.B - 1 / max(1.0, self.rate.rate(now)))
-        return True
+        return self.core.chance() < chance
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
@@ -193,6 +190,7 @@
                 self.f += 0.1 * (failed - self.f)
             open_still = failed and not operation.over and not operation.out
             if open_still and (again or self.granted(now, dispatch)) and self.take(now, operation):
+                self.B = max(0.0, self.B - 1 / max(1.0, self.rate.rate(now)))
                 return
         self.outer.ended(now, dispatch)
 
@@ -266,6 +264,8 @@
         for upstream, high, fault in zip(self.members, highs, faults):
             warmth = core.sender.warmth(now, upstream)
             upstream.faulty = fault > 0.3 and fair < 0.1
+            # Against one of which little is known yet being held slow for that.
+            high = (high * upstream.times.weight + middle * 2) / (upstream.times.weight + 2)
             upstream.slow = high * (1 + 4 * fault)
             upstream.near = 1.0 if upstream.zone == self.settings.get("zone", upstream.zone) else AWAY
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
