--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -234,7 +234,7 @@
 
     def forget(self, now, upstream):
         upstream.times, upstream.faults = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now)
-        upstream.done = Sums(DONE_SPAN, now)
+        upstream.done, upstream.ghosts = Sums(DONE_SPAN, now), Sums(DONE_SPAN, now)
         upstream.faulty, upstream.slow, upstream.near = False, 1.0, 1.0
 
     def chill(self, now, upstream, since):
@@ -300,7 +300,8 @@
             return False
         # Little's law: what is out, over what is fulfilled in a second, is the mean time out of the next.
         # Against burying an upstream, and against one that answers nothing filling the balancer.
-        out, done = len(upstream.pending), upstream.done.fade(now)
+        # What was given up still runs there, against refilling an upstream that only times out.
+        out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
         return out < self.floor or out < CROWD * done.total / done.span
 
     def take(self, now, operation):
@@ -329,6 +330,7 @@
             upstream.done.add(now, grade["goal_ns"])
             self.grades[grade["number"]].add(now, dispatch.took)
         elif outcome in (TIMED_OUT, CALLED_OFF):
+            upstream.ghosts.add(now)
             age = log(max(1, now - dispatch.sent) / self.usual(grade))
             if age > SURPRISE:
                 upstream.times.add(now, age)
