--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -20,7 +20,7 @@
 RATE_SPAN = 5 * S           # smoothing of the base load
 OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
 
-SLICE_LEAST, SLICE_PART = 3, 2
+SLICE_LEAST, CALLERS = 3, 4
 AWAY = 0.4                  # weight of another zone's upstream: crossing is dear
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
@@ -244,7 +244,7 @@
 
     def review(self, now):
         core, count = self.core, len(self.ring)
-        width = max(SLICE_LEAST, -(-count // core.balancers), -(-count // SLICE_PART)) + self.extra
+        width = max(SLICE_LEAST, -(-CALLERS * count // core.balancers)) + self.extra
         # Against many callers that each find little out of their own and together bury an upstream.
         self.floor = max(1, round(ROOM * count / (core.balancers * max(1, min(count, width)))))
         self.members, fit = [], 0
