--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -90,6 +90,10 @@
         self.pending = {}           # dispatches out, oldest first
         self.times = None           # Sums of ln(answer time / usual)
         self.faults = None          # Sums of 0 or 1
+        self.done = None            # Sums of the goal times of what it fulfilled
+        self.ghosts = None          # Sums of what was given up and may still run there
+        self.faulty = False         # failing while its fellows do not
+        self.slow, self.near = 1.0, 1.0
         self.dark_since = None      # when it was found dead or mute
         self.probing = False
         self.probe_after = 0
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -233,8 +233,8 @@
         self.review(now)
 
     def forget(self, now, upstream):
-        upstream.times, upstream.faults = Sums(TIMES_SPAN, now), Sums(FAULTS_SPAN, now)
-        upstream.done, upstream.ghosts = Sums(DONE_SPAN, now), Sums(DONE_SPAN, now)
+        upstream.times, upstream.faults, upstream.done, upstream.ghosts = (
+            Sums(span, now) for span in (TIMES_SPAN, FAULTS_SPAN, DONE_SPAN, DONE_SPAN))
         upstream.faulty, upstream.slow, upstream.near = False, 1.0, 1.0
 
     def chill(self, now, upstream, since):
@@ -380,9 +380,8 @@
             return False
         if operation.out and not self.settings.get("may_overlap") or self.core.discovery.silent(now):
             return False
-        if len(operation.dispatches) >= self.settings.get("most_dispatches", 1):
-            return False
-        if not self.repeatable(now, operation, upstream):
+        if len(operation.dispatches) >= self.settings.get("most_dispatches", 1) or (
+                not self.repeatable(now, operation, upstream)):
             return False
         warmth = self.warmth(now, upstream)
         if warmth == 1.0:
@@ -418,9 +417,8 @@
     """Asks where asking is wanted, spread out so that all instances together don't bury the list."""
 
     def __init__(self, core):
-        self.core, self.asks = core, core.settings.get("asks")
+        self.core, self.asks, self.watching, self.asked = core, core.settings.get("asks"), False, core.now
         self.within = core.settings.get("ask_within_ns", 10 * S)
-        self.watching, self.asked = False, core.now
         if self.asks:
             core.later(core.now + int(core.chance() * min(S, self.within / 8)), self.ask, None)
 
