--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -307,13 +307,17 @@
     def take(self, now, operation):
         tried = [d.upstream for d in operation.dispatches]
         for upstreams in (self.members, self.ring):
-            fit = [u for u in upstreams if u not in tried and u.weight and self.room(now, u) and (
+            usable = [u for u in upstreams if u not in tried and u.weight and (
                 self.core.sender.may(now, operation, u))]
-            if fit:
-                first = self.draw(fit)
-                pair = first, self.draw([u for u in fit if u is not first] or fit)
-                return self.inner.send(now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
-        return False
+            # Against all balancers reaching beyond their slices at once: a slice without room is no reason to.
+            if usable:
+                break
+        fit = [u for u in usable if self.room(now, u)]
+        if not fit:
+            return False
+        first = self.draw(fit)
+        pair = first, self.draw([u for u in fit if u is not first] or fit)
+        return self.inner.send(now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
 
     def draw(self, fit):
         spot = self.core.chance() * sum(u.weight * u.near for u in fit)
