--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -29,7 +29,7 @@
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD = 0.35                # mean time out that is let grow, in goal times
 ROOM = 5                    # dispatches that all callers together may always have out at an upstream
-HOLD = 0.3                 # longest wait at the gate, in goal times
+HOLD = 0.2                 # longest wait at the gate, in goal times
 
 
 class Answers(Stage):
