--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -1,8 +1,7 @@
 """Every decision of pepperhook. A host makes one Balancer for each instance, calls it as things happen
 and carries out the results that each call returns; pepperhook/model.py documents calls, results and types.
 The ordinary path is Adaptive Retry Budgeting (ARB) over slices with two choices: docs/design.md.
-
-An operation goes down the chain Answers > Shares > Gate > Budget > Pick > Sender; what comes back goes up it.
+Down the chain Answers > Shares > Gate > Budget > Pick > Sender goes an operation, up it what comes back.
 """
 
 from math import exp, log, sqrt
@@ -12,12 +11,12 @@
     CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, TIMED_OUT, UNCONNECTED,
     Clockwork, Dispatch, Missing, Stage, Sums, call, chain)
 
-MS = 1_000_000
-S = 1000 * MS
+MS, S = 1_000_000, 1_000_000_000
 REVIEW = 200 * MS           # how often upstreams are judged afresh
 
 B0, ALPHA, BETA, HIGH_F, LOW_F, T = 0.2, 0.1, 0.5, 0.3, 0.05, S
 RATE_SPAN = 5 * S           # smoothing of the base load
+STEADY_SPAN = 30 * S        # of the load a warm upstream is known to bear
 OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
 
 SLICE_LEAST, CALLERS = 3, 4
@@ -133,7 +132,8 @@
     def __init__(self, core):
         super().__init__(core)
         self.B, self.f = B0, 0.0
-        self.rate, self.refused = Sums(RATE_SPAN, core.now), Sums(2 * S, core.now)
+        self.rate, self.steady = Sums(RATE_SPAN, core.now), Sums(STEADY_SPAN, core.now)
+        self.refused = Sums(2 * S, core.now)
         self.grades = [0.0] * len(self.settings["grades"])
         core.later(core.now + T, self.adjust, None)
 
@@ -173,8 +173,7 @@
                 now + pick.usual(operation.grade) > operation.goal_at):
             return False
         # Against quick errors of one upstream: its fellows can still serve what it failed, within the budget.
-        chance = 1 - self.f if dispatch.upstream.faulty else min(self.B, 1 - self.f)
-        return self.core.chance() < chance
+        return self.core.chance() < (1 - self.f if dispatch.upstream.faulty else min(self.B, 1 - self.f))
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
@@ -255,10 +254,8 @@
                 break
             self.members.append(upstream)
             fit += upstream.dark_since is None
-        if not self.members:
-            return
-        highs = [self.high(now, u) for u in self.members]
-        faults = [u.faults.mean(now, 0, 2) for u in self.members]
+        highs = [self.high(now, u) for u in self.members] or [1.0]
+        faults = [u.faults.mean(now, 0, 2) for u in self.members] or [0.0]
         # Against the rest being buried: slowness and faults that most share are nobody's own.
         middle, fair = sorted(highs)[len(highs) // 2], sorted(faults)[len(highs) // 2]
         for upstream, high, fault in zip(self.members, highs, faults):
@@ -272,7 +269,7 @@
             upstream.weight = max(TRICKLE, warmth * (min(1.0, middle / high) * sound) ** 2)
             if upstream.dark_since is not None:
                 self.look(now, upstream)
-        busy = core.sent_out / len(self.members)
+        busy = core.sent_out / max(1, len(self.members))
         self.extra = min(count, self.extra + 1) if busy > 3 else max(0, self.extra - (busy < 1.5))
 
     def high(self, now, upstream):
@@ -309,23 +306,14 @@
         for upstreams in (self.members, self.ring):
             usable = [u for u in upstreams if u not in tried and u.weight and (
                 self.core.sender.may(now, operation, u))]
-            # Against all balancers reaching beyond their slices at once: a slice without room is no reason to.
+            # Against all balancers reaching beyond their slices at once: want of room is no reason to.
             if usable:
                 break
         fit = [u for u in usable if self.room(now, u)]
-        if not fit:
-            return False
-        first = self.draw(fit)
-        pair = first, self.draw([u for u in fit if u is not first] or fit)
-        return self.inner.send(now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
-
-    def draw(self, fit):
-        spot = self.core.chance() * sum(u.weight * u.near for u in fit)
-        for upstream in fit:
-            spot -= upstream.weight * upstream.near
-            if spot < 0:
-                break
-        return upstream
+        # An exponential race: the first two are drawn by weight, without the same one twice.
+        pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[:2]
+        return bool(pair) and self.inner.send(
+            now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
 
     def ended(self, now, dispatch):
         upstream, grade, outcome = dispatch.upstream, dispatch.operation.grade, dispatch.outcome
@@ -391,7 +379,9 @@
         if warmth == 1.0:
             return True
         # A warm one bears its load; a cold one gets that share of it which it surely can do, evenly.
-        rate = self.core.budget.rate.rate(now) / max(1, len(self.core.pick.members))
+        # Against a fleet all cold that gets less and less, the older rate counts where it is the higher.
+        rate = max(self.core.budget.rate.rate(now), self.core.budget.steady.rate(now))
+        rate /= max(1, len(self.core.pick.members))
         upstream.allowance = min(1.0, upstream.allowance + (now - upstream.allowed_at) / S * rate * warmth)
         upstream.allowed_at = now
         return upstream.allowance >= 1.0
@@ -407,6 +397,7 @@
         operation.out += 1
         self.core.sent_out += 1
         self.core.budget.rate.add(now)
+        self.core.budget.steady.add(now)
         self.core.out.append(("dispatch", dispatch, operation.not_after - now))
         return True
 
