--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -20,6 +20,7 @@
 OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
 
 SLICE_LEAST, CALLERS = 3, 4
+HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
 AWAY = 0.4                  # weight of another zone's upstream: crossing is dear
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
@@ -200,7 +201,15 @@
     def __init__(self, core):
         super().__init__(core)
         self.listed, self.ring, self.members, self.extra, self.floor = {}, [], [], 0, 1
-        self.grades = [Sums(10 * S, core.now) for _ in self.settings["grades"]]
+        self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
+
+    def weight(self, operation):
+        """How heavy it is for its grade, where that is known: 1 is usual."""
+        costs = self.costs[operation.grade["number"]]
+        return operation.cost / costs.mean(self.core.now, operation.cost, 2) if operation.cost else 1.0
+
+    def expected(self, operation):
+        return self.usual(operation.grade) * (0.3 + 0.7 * self.weight(operation))
 
     def usual(self, grade):
         return max(MS, self.grades[grade["number"]].mean(self.core.now, 0.2 * grade["goal_ns"], 2))
@@ -277,7 +286,7 @@
         sums = upstream.times.fade(now)
         weight, total, squares = sums.weight + 2, sums.total, sums.squares + 1
         for dispatch in upstream.pending:
-            age = log(max(1, now - dispatch.sent) / self.usual(dispatch.operation.grade))
+            age = log(max(1, now - dispatch.sent) / self.expected(dispatch.operation))
             if age > SURPRISE:
                 weight, total, squares = weight + 1, total + age, squares + age * age
         mean = total / weight
@@ -302,6 +311,8 @@
         return out < self.floor or out < CROWD * done.total / done.span
 
     def take(self, now, operation):
+        if operation.cost and not operation.waiting and not operation.dispatches:
+            self.costs[operation.grade["number"]].add(now, operation.cost)
         tried = [d.upstream for d in operation.dispatches]
         for upstreams in (self.members, self.ring):
             usable = [u for u in upstreams if u not in tried and u.weight and (
@@ -311,19 +322,21 @@
                 break
         fit = [u for u in usable if self.room(now, u)]
         # An exponential race: the first two are drawn by weight, without the same one twice.
-        pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[:2]
+        pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))
+        # Against a heavy one, dear by its work, landing on one that can't do it in time: the best of all.
+        pair = pair if self.weight(operation) > HEAVY else pair[:2]
         return bool(pair) and self.inner.send(
             now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
 
     def ended(self, now, dispatch):
         upstream, grade, outcome = dispatch.upstream, dispatch.operation.grade, dispatch.outcome
         if outcome == FULFILLED:
-            upstream.times.add(now, log(max(1, dispatch.took) / self.usual(grade)))
+            upstream.times.add(now, log(max(1, dispatch.took) / self.expected(dispatch.operation)))
             upstream.done.add(now, grade["goal_ns"])
             self.grades[grade["number"]].add(now, dispatch.took)
         elif outcome in (TIMED_OUT, CALLED_OFF):
             upstream.ghosts.add(now)
-            age = log(max(1, now - dispatch.sent) / self.usual(grade))
+            age = log(max(1, now - dispatch.sent) / self.expected(dispatch.operation))
             if age > SURPRISE:
                 upstream.times.add(now, age)
         if outcome not in (CALLED_OFF, MOOT):
