--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -29,6 +29,7 @@
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD = 0.35                # mean time out that is let grow, in goal times
 ROOM = 5                    # dispatches that all callers together may always have out at an upstream
+PATIENCE = 3                # expected times until a judged upstream's answer is given up
 HOLD = 0.2                 # longest wait at the gate, in goal times
 
 
@@ -86,6 +87,8 @@
             if quota and self.core.chance() * asked.rate(now) > quota:
                 value *= self.settings.get("excess_earnings", 1)
         operation.value = value
+        if operation.cost:
+            self.core.pick.costs[operation.grade["number"]].add(now, operation.cost)
         return self.inner.take(now, operation)
 
 
@@ -153,10 +156,10 @@
         if not self.inner.take(now, operation):
             return False
         # A late answer that still earns is waited for; one that does not leaves time for another dispatch.
-        grade, pick = operation.grade, self.core.pick
-        patience = now + pick.patience(grade)
+        grade, expected = operation.grade, self.core.pick.expected(operation)
+        patience = now + int(max(0.25 * grade["goal_ns"], PATIENCE * expected))
         if self.settings.get("may_call_off") and not grade["late_earnings"] and (
-                patience + pick.usual(grade) < operation.goal_at):
+                patience + expected < operation.goal_at):
             self.core.later(patience, self.tire, operation.dispatches[-1])
         return True
 
@@ -203,22 +206,16 @@
         self.listed, self.ring, self.members, self.extra, self.floor = {}, [], [], 0, 1
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
-    def weight(self, operation):
-        """How heavy it is for its grade, where that is known: 1 is usual."""
+    def heft(self, operation):
         costs = self.costs[operation.grade["number"]]
         return operation.cost / costs.mean(self.core.now, operation.cost, 2) if operation.cost else 1.0
 
     def expected(self, operation):
-        return self.usual(operation.grade) * (0.3 + 0.7 * self.weight(operation))
+        return self.usual(operation.grade) * (0.3 + 0.7 * self.heft(operation))
 
     def usual(self, grade):
         return max(MS, self.grades[grade["number"]].mean(self.core.now, 0.2 * grade["goal_ns"], 2))
 
-    def patience(self, grade):
-        sums, mean = self.grades[grade["number"]], self.usual(grade)
-        spread = sqrt(max(0.0, sums.squares / sums.weight - mean * mean)) if sums.weight > 1 else mean
-        return int(max(0.25 * grade["goal_ns"], mean + 3 * spread))
-
     def utilisation(self, now):
         known = [u.report["utilisation"] for u in self.members if now - u.report_at < FRESH and u.report
                  and "utilisation" in u.report]
@@ -311,8 +308,6 @@
         return out < self.floor or out < CROWD * done.total / done.span
 
     def take(self, now, operation):
-        if operation.cost and not operation.waiting and not operation.dispatches:
-            self.costs[operation.grade["number"]].add(now, operation.cost)
         tried = [d.upstream for d in operation.dispatches]
         for upstreams in (self.members, self.ring):
             usable = [u for u in upstreams if u not in tried and u.weight and (
@@ -321,10 +316,9 @@
             if usable:
                 break
         fit = [u for u in usable if self.room(now, u)]
-        # An exponential race: the first two are drawn by weight, without the same one twice.
         pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))
         # Against a heavy one, dear by its work, landing on one that can't do it in time: the best of all.
-        pair = pair if self.weight(operation) > HEAVY else pair[:2]
+        pair = pair if self.heft(operation) > HEAVY else pair[:2]
         return bool(pair) and self.inner.send(
             now, operation, min(pair, key=lambda u: (len(u.pending), u.slow)))
 
