--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -107,7 +107,7 @@
         self.queue.sort(key=lambda kept: (-kept.value, kept.taken))
         self.core.later(now + int(HOLD * operation.grade["goal_ns"]), self.drop, operation)
         self.release(now)
-        while len(self.queue) > max(2, self.core.sent_out / 2):
+        while len(self.queue) > 2 * max(1, len(self.core.pick.members)):
             self.drop(now, self.queue[-1])
         return True
 
@@ -275,7 +275,7 @@
             upstream.weight = max(TRICKLE, warmth * (min(1.0, middle / high) * sound) ** 2)
             if upstream.dark_since is not None:
                 self.look(now, upstream)
-        busy = core.sent_out / max(1, len(self.members))
+        busy = sum(len(u.pending) for u in self.members) / max(1, len(self.members))
         self.extra = min(count, self.extra + 1) if busy > 3 else max(0, self.extra - (busy < 1.5))
 
     def high(self, now, upstream):
@@ -290,10 +290,9 @@
         return exp(mean + sqrt(max(0.0, squares / weight - mean * mean)))
 
     def look(self, now, upstream):
-        upstream.weight = 0.0
-        if now >= upstream.probe_after and not self.settings.get("may_probe"):
-            upstream.weight = TRICKLE
-        elif now >= upstream.probe_after and not upstream.probing:
+        due, may = now >= upstream.probe_after, self.settings.get("may_probe")
+        upstream.weight = TRICKLE if due and not may else 0.0
+        if due and may and not upstream.probing:
             upstream.probing = True
             self.core.out.append(("probe", upstream))
 
@@ -402,7 +401,6 @@
         operation.dispatches.append(dispatch)
         upstream.pending[dispatch] = True
         operation.out += 1
-        self.core.sent_out += 1
         self.core.budget.rate.add(now)
         self.core.budget.steady.add(now)
         self.core.out.append(("dispatch", dispatch, operation.not_after - now))
@@ -411,7 +409,6 @@
     def ended(self, now, dispatch):
         dispatch.operation.out -= 1
         dispatch.upstream.pending.pop(dispatch)
-        self.core.sent_out -= 1
         self.outer.ended(now, dispatch)
 
 
@@ -445,7 +442,7 @@
         if not settings.get("grades"):
             raise Missing("settings: grades is missing")
         super().__init__(seed, now)
-        self.settings, self.sent_out = settings, 0
+        self.settings = settings
         self.balancers = max(1, settings.get("balancers", 1))
         self.index = settings.get("me", 0) % self.balancers
         self.answers, _, self.gate, self.budget, self.pick, self.sender = chain(
