--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -21,7 +21,7 @@
 
 SLICE_LEAST, CALLERS = 3, 4
 HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
-AWAY = 0.2                  # weight of another zone's upstream: crossing is dear
+AWAY = 0.1                  # weight of another zone's upstream: crossing is dear
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
