--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from pepperhook import model
 from pepperhook.wirehost import codec
 from pepperhook.wirehost.__main__ import answer
+from pepperhook.wirehost.instance import Instance
 
 
 def test_the_example_batch_is_read_and_unstarted_instances_stay_silent():
@@ -24,3 +26,18 @@
     with pytest.raises(codec.Malformed, match="ended 3 bytes into a batch of 76"):
         codec.read_batch(io.BytesIO(bytes.fromhex("0000004c 00000005 0000000000805c5a 090000")))
     assert codec.read_batch(io.BytesIO(b"")) is None
+
+
+def test_actions_have_the_bytes_of_the_note():
+    instance = Instance()
+    instance.operations = {}
+    operation = model.Operation(0x000b5c525d3a91c4, {}, None, None, 0)
+    upstream = model.Upstream(bytes.fromhex("0a124a071f93"))
+    sent = instance.encode(("dispatch", model.Dispatch(operation, upstream, 0), 80_000_000))
+    assert sent == bytes.fromhex("06 00000012 000b5c525d3a91c4 0a124a07 1f93 00013880")
+    assert instance.encode(("note", "two servers known")) == bytes.fromhex(
+        "01 00000013 0011 74776f2073657276657273206b6e6f776e")
+    assert instance.encode(("probe", model.Upstream(bytes.fromhex("0a9011f21fbc")))) == bytes.fromhex(
+        "0c 00000006 0a9011f2 1fbc")
+    assert instance.encode(("call off", model.Dispatch(operation, upstream, 0))) == bytes.fromhex(
+        "02 0000000a 000b5c525d3a91c4 0000")
