--- /dev/null
+++ b/pepperhook/net/config.py
@@ -0,0 +1,83 @@
+"""What the platform tells a balancer: environment variables and one JSON file, checked and given defaults."""
+
+import json
+from dataclasses import dataclass
+
+from pepperhook import model, settings
+
+SOCKETS = 1024
+
+
+class Faulty(ValueError):
+    """The configuration cannot be used; the text names the key."""
+
+
+@dataclass
+class Config:
+    name: str
+    listen: tuple
+    discovery: tuple
+    seed: int
+    sockets: int
+    known: dict | None
+    settings: dict
+    names: dict
+
+
+def read(environ):
+    """The configuration that the environment points to."""
+    told = {}
+    path = environ.get("LB_CONFIG")
+    if path:
+        try:
+            with open(path, encoding="utf-8") as file:
+                told = json.load(file)
+        except (OSError, ValueError) as problem:
+            raise Faulty(f"LB_CONFIG: {path}: {problem}") from None
+        if not isinstance(told, dict):
+            raise Faulty(f"LB_CONFIG: {path}: an object is wanted")
+    try:
+        env = told.get("settings")
+        if env is None:
+            raise Faulty("settings: is missing" + ("" if path else "; LB_CONFIG names no file"))
+        return Config(
+            name=str(environ.get("LB_NAME") or told.get("name") or "balancer"),
+            listen=address("listen", environ.get("LB_LISTEN") or told.get("listen")),
+            discovery=address("discovery", environ.get("LB_DISCOVERY") or told.get("discovery")),
+            seed=seed(told.get("seed", "0")), sockets=sockets(told.get("limits")), known=known(told.get("known")),
+            settings=settings.read(env), names=settings.names(env))
+    except model.Missing as problem:
+        raise Faulty(str(problem)) from None
+
+
+def address(key, text):
+    if not isinstance(text, str):
+        raise Faulty(f"{key}: an address HOST:PORT is wanted")
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise Faulty(f"{key}: an address HOST:PORT is wanted, not {text!r:.60}")
+    return host.strip("[]"), int(port)
+
+
+def seed(value):
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    try:
+        return int(value, 16)
+    except (TypeError, ValueError):
+        raise Faulty(f"seed: a hexadecimal number is wanted, not {value!r:.60}") from None
+
+
+def sockets(limits):
+    if limits is not None and not isinstance(limits, dict):
+        raise Faulty("limits: an object is wanted")
+    most = (limits or {}).get("sockets", SOCKETS)
+    if not isinstance(most, int) or isinstance(most, bool) or most < 64:
+        raise Faulty(f"limits.sockets: a whole number from 64 up is wanted, not {most!r:.40}")
+    return most
+
+
+def known(value):
+    if value is not None and not (isinstance(value, dict) and isinstance(value.get("hosts", []), list)):
+        raise Faulty("known: a list of upstreams in discovery's form is wanted")
+    return value
--- /dev/null
+++ b/pepperhook/net/core.py
@@ -0,0 +1,71 @@
+"""The decisions' place on this machine: one clock, one way in, and the one place that carries results out."""
+
+import asyncio
+import time
+
+
+class Core:
+    """Calls the module, and hands each result to whom it belongs; keeps the module's wake-ups."""
+
+    def __init__(self, log, counters):
+        self.log, self.counters, self.loop = log, counters, asyncio.get_running_loop()
+        # One clock for all: never set back, and set to Unix time once, as starts of upstreams are told in that.
+        self.offset = time.time_ns() - time.monotonic_ns()
+        self.module = self.upstreams = self.discovery = None
+        self.inboxes = {}       # of each operation under way, by itself
+        self.alarm, self.alarm_at = None, None
+
+    def now(self):
+        return time.monotonic_ns() + self.offset
+
+    def start(self, module, upstreams, discovery):
+        self.module, self.upstreams, self.discovery = module, upstreams, discovery
+        self.tell(module.wake)
+
+    def tell(self, call, *about):
+        """Makes one call to the module and carries out its results, in their order."""
+        try:
+            results = call(self.now(), *about)
+        except Exception:
+            # What it had decided before it failed is kept, or operations would hang on it.
+            results, self.module.out = self.module.out, []
+            self.counters.add("faults of the module")
+            self.log.exception("module_fault", call=call.__name__)
+        for result in results:
+            what = result[0]
+            if what in ("shed", "break off"):
+                self.hand(result[1], result)
+            elif what in ("dispatch", "call off"):
+                self.hand(result[1].operation, result)
+            elif what == "wake":
+                self.wake_at(result[1])
+            elif what == "probe":
+                self.upstreams.probe(result[1], self.probed)
+            elif what in ("watch", "fetch"):
+                self.discovery.want(what)
+            elif what == "note":
+                self.log.info("note", text=result[1])
+
+    def hand(self, operation, item):
+        inbox = self.inboxes.get(operation)
+        if inbox is not None:
+            inbox.put_nowait(item)
+
+    def probed(self, upstream, outcome, took):
+        self.tell(self.module.probed, upstream, outcome, took)
+
+    def wake_at(self, at):
+        if self.alarm is None or at < self.alarm_at:
+            if self.alarm is not None:
+                self.alarm.cancel()
+            self.alarm_at = at
+            self.alarm = self.loop.call_at((at - self.offset) / 1e9, self.wake)
+
+    def wake(self):
+        self.alarm = None
+        self.tell(self.module.wake)
+
+    def close(self):
+        if self.alarm is not None:
+            self.alarm.cancel()
+            self.alarm = None
--- /dev/null
+++ b/pepperhook/net/discovery.py
@@ -0,0 +1,116 @@
+"""The list of upstreams: a watch that is kept up, and asks, both only as the module wants them."""
+
+import asyncio
+import json
+
+import aiohttp
+
+from pepperhook import model
+
+STATES = {"ready": model.READY, "draining": model.DRAINING, "gone": model.GONE}
+ASK_S = 1.5             # longest an answer may take beyond the wait that was asked for
+LONGEST_WAIT_S = 20
+
+
+class Broken(ValueError):
+    """An answer that is no list."""
+
+
+class Discovery:
+    """Decodes lists into calls; objects inside, names at the door."""
+
+    def __init__(self, core, log, counters, config, upstreams):
+        self.core, self.log, self.counters, self.upstreams = core, log, counters, upstreams
+        self.base = "http://{}:{}/catalog/members".format(*config.discovery)
+        self.zones, self.kinds = config.names["zones"], config.names["kinds"]
+        self.known, self.version, self.tasks, self.ready = {}, None, {}, False
+        # Short against the time after which silence counts as being told: a dead list is noticed before.
+        self.wait_s = min(LONGEST_WAIT_S, config.settings.get("ask_within_ns", 10 ** 10) / 2e9)
+        self.session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
+            connector=aiohttp.TCPConnector(limit=4, use_dns_cache=False))
+
+    def want(self, what):
+        """ "watch": news from now on, until it breaks; "fetch": the whole list once."""
+        if what not in self.tasks:
+            work = self.watch() if what == "watch" else self.fetch()
+            self.tasks[what] = task = self.core.loop.create_task(work)
+            task.add_done_callback(lambda _: self.tasks.pop(what))
+
+    async def watch(self):
+        """Asks again at once after each answer, as a gap would begin a new watch."""
+        while await self.ask({} if self.version is None else {
+                "since": str(self.version), "timeout_ms": str(int(self.wait_s * 1000))}):
+            pass
+
+    async def fetch(self):
+        await self.ask({})
+
+    async def ask(self, query):
+        self.counters.add("list asked")
+        try:
+            limit = ASK_S + (self.wait_s if query else 0)
+            async with self.session.get(self.base, params=query, allow_redirects=False,
+                                        timeout=aiohttp.ClientTimeout(total=limit)) as response:
+                body = await response.read()
+                if response.status != 200:
+                    raise Broken(f"status {response.status}")
+            self.take(json.loads(body))
+        except (aiohttp.ClientError, OSError, ValueError) as problem:
+            self.counters.add("list failed")
+            self.log.warning("list_failed", error=f"{type(problem).__name__}: {problem}")
+            self.core.tell(self.core.module.listing_failed)
+            return False
+        return True
+
+    def take(self, told):
+        """One list or one set of changes; nothing of it is taken if any of it is broken."""
+        if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
+            raise Broken("hosts: a list is wanted")
+        version, whole = told.get("seq"), bool(told.get("whole"))
+        if not isinstance(version, int):
+            raise Broken("seq: a number is wanted")
+        entries = [self.entry(at, row) for at, row in enumerate(told["hosts"])]
+        if not whole and not entries:
+            self.version = version
+            return
+        rows = []
+        for host, dial, fields, state, launched in entries:
+            upstream = self.known.get(host)
+            if upstream is None:
+                # By its name, which is the same at every balancer: rings have one order.
+                upstream = self.known[host] = model.Upstream(host.encode())
+            for name, value in fields.items():
+                setattr(upstream, name, value)
+            self.upstreams.dials[upstream] = dial
+            rows.append((upstream, state, launched))
+        self.core.tell(self.core.module.listing, whole, rows)
+        self.version = version
+        named = {upstream for upstream, state, _ in rows if state != model.GONE}
+        for upstream in [u for u in self.known.values() if u not in named and (whole or u.state == model.GONE)]:
+            # Dispatches still out need no address any more.
+            self.known.pop(upstream.address.decode())
+            self.upstreams.dials.pop(upstream, None)
+        if not self.ready:
+            self.log.info("list_known", version=version, upstreams=len(self.known))
+        self.ready = True
+
+    def entry(self, at, row):
+        if not isinstance(row, dict) or not isinstance(row.get("host"), str) or not isinstance(row.get("dial"), str):
+            raise Broken(f"hosts[{at}]: host and dial are wanted")
+        if row.get("health") not in STATES:
+            raise Broken(f"hosts[{at}].health: {row.get('health')!r:.40}")
+        numbers = {"block": 0, "share": 1.0, "born_ms": 0}
+        for key in numbers:
+            value = row.get(key, numbers[key])
+            if isinstance(value, bool) or not isinstance(value, (int, float)):
+                raise Broken(f"hosts[{at}].{key}: a number is wanted")
+            numbers[key] = value
+        fields = {"zone": self.zones.get(row.get("site"), 0), "kind": self.kinds.get(row.get("class"), 0),
+                  "cell": numbers["block"], "units": numbers["share"]}
+        return row["host"], row["dial"], fields, STATES[row["health"]], int(numbers["born_ms"] * 10 ** 6)
+
+    async def close(self):
+        for task in list(self.tasks.values()):
+            task.cancel()
+        await self.session.close()
--- /dev/null
+++ b/pepperhook/net/operation.py
@@ -0,0 +1,84 @@
+"""The life of one operation, from its taking to its final answer and the end of its last dispatch."""
+
+import asyncio
+from dataclasses import dataclass
+
+from pepperhook import model
+
+
+@dataclass
+class Answer:
+    """What the client gets: "fulfilled" with an upstream's answer, "shed" or "broken off"."""
+
+    kind: str
+    body: bytes = b""
+    content_type: str | None = None
+    after_ns: int = 0
+
+
+class Operations:
+    """Owns the lives under way; each is one task, which gives its operation back at its end."""
+
+    def __init__(self, core, log, counters):
+        self.core, self.log, self.counters, self.tasks = core, log, counters, set()
+
+    def begin(self, operation, message):
+        """Takes an operation; the future gets its answer, and cancelling it tells that the client has left."""
+        answer = self.core.loop.create_future()
+        task = self.core.loop.create_task(self.live(operation, message, answer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return answer
+
+    async def live(self, operation, message, answer):
+        core, module = self.core, self.core.module
+        inbox = core.inboxes[operation] = asyncio.Queue()
+        answer.add_done_callback(lambda future: future.cancelled() and inbox.put_nowait(("left",)))
+        out = set()
+        try:
+            core.tell(module.take, operation)
+            while not answer.done() or out:
+                what, *about = await self.next(inbox, operation, out)
+                if what == "dispatch":
+                    dispatch, for_ns = about
+                    out.add(dispatch)
+                    core.upstreams.send(dispatch, for_ns, message, inbox)
+                elif what == "call off":
+                    core.upstreams.call_off(about[0])
+                elif what == "ended":
+                    dispatch, outcome, received = about
+                    out.discard(dispatch)
+                    if outcome == model.FULFILLED and not answer.done():
+                        self.give(answer, Answer("fulfilled", received.body, received.content_type))
+                    core.tell(module.ended, dispatch, outcome, core.now() - dispatch.sent, answer.done())
+                elif what == "shed":
+                    self.give(answer, Answer("shed", after_ns=about[1]))
+                elif what == "break off":
+                    self.give(answer, Answer("broken off"))
+                elif what == "left":
+                    self.counters.add("clients left")
+                    core.tell(module.left, operation)
+                elif what == "overdue":
+                    # Against a fault of the module leaving an operation unanswered.
+                    self.log.error("operation_overdue", id=operation.id)
+                    self.give(answer, Answer("broken off"))
+                    core.tell(module.left, operation)
+        finally:
+            del core.inboxes[operation]
+            for dispatch in out:
+                core.upstreams.call_off(dispatch)
+            self.give(answer, Answer("broken off"))
+
+    def give(self, answer, what):
+        if not answer.done():
+            self.counters.add(f"answered {what.kind}")
+            answer.set_result(what)
+
+    async def next(self, inbox, operation, out):
+        if out:
+            return await inbox.get()    # a dispatch always ends by itself
+        try:
+            async with asyncio.timeout_at((operation.not_after - self.core.offset) / 1e9 + 0.005):
+                return await inbox.get()
+        except TimeoutError:
+            return ("overdue",)
--- /dev/null
+++ b/pepperhook/settings.py
@@ -0,0 +1,107 @@
+"""The one reader of a deployment's settings: checks them, gives defaults, and turns them into the module's plain
+map in the project's words, times in nanoseconds. Both hosts use it; what is wrong is named by its key."""
+
+from pepperhook import model
+
+EFFECTS = {"idempotent": model.RETRIABLE, "deduplicated": model.FINGERPRINTED, "at_most_once": model.BINDING}
+GROUPS = ("all", "zone", "cell")
+REPORT_WORDS = {"outstanding": "in flight", "backlog": "waiting", "utilization": "utilisation",
+                "recent_ms": "service time ms", "throughput": "per second",
+                "errors_per_s": "errors per second"}
+# key of the settings -> (our name, factor; None for yes or no); what is absent stays absent, as the decisions
+# know what absence means
+PLAIN = {
+    "me": ("me", 1), "groupSize": ("balancers", 1), "tier": ("tier", 1), "locality": ("zone", 1),
+    "excessEarnings": ("excess_earnings", 1), "tickUs": ("tick_ns", 1000),
+    "domain.passesDeadline": ("passes_limit", None),
+    "permissions.cancel": ("may_call_off", None), "permissions.probes": ("may_probe", None),
+    "permissions.parallelTries": ("may_overlap", None), "permissions.retryAfter": ("may_advise", None),
+    "permissions.maxDispatches": ("most_dispatches", 1),
+    "permissions.maxRetryAfterUs": ("longest_advice_ns", 1000),
+    "permissions.connectTimeoutUs": ("connect_limit_ns", 1000),
+    "permissions.keepaliveUs": ("idle_ns", 1000),
+    "safety.answerSlackUs": ("answer_slack_ns", 1000),
+    "safety.askWithinUs": ("ask_within_ns", 1000),
+    "safety.drainGraceUs": ("drain_grace_ns", 1000), "safety.fallMultiple": ("fall_multiple", 1),
+    "safety.fallUs": ("fall_ns", 1000), "safety.startCapacity": ("start_capacity", 1),
+    "safety.warmWithinUs": ("warm_within_ns", 1000),
+}
+
+
+def read(env):
+    """The module's map."""
+    expect(isinstance(env, dict), "settings", "an object is wanted")
+    settings = {"asks": env.get("discovery", "push") == "ask", "per_work": env.get("earningsPer") == "work",
+                "customers": [], "grades": []}
+    for key, (name, factor) in PLAIN.items():
+        value = env
+        for part in key.split("."):
+            expect(value is None or isinstance(value, dict), key, "an object is wanted around it")
+            value = None if value is None else value.get(part)
+        if value is not None:
+            settings[name] = flag(key, value) if factor is None else number(key, value, factor)
+    for at, row in enumerate(rows(env, "orgs")):
+        key = f"orgs[{at}]"
+        settings["customers"].append({"quota": number(f"{key}.quotaPerS", row.get("quotaPerS", 0.0)),
+                                      "share": number(f"{key}.share", row.get("share", 0.0))})
+    grades = rows(env, "serviceGrades")
+    expect(grades, "serviceGrades", "at least one is wanted")
+    settings["grades"] = [grade(f"serviceGrades[{at}]", at, row) for at, row in enumerate(grades)]
+    reporting = env.get("reporting") or {}
+    expect(isinstance(reporting, dict), "reporting", "an object is wanted")
+    settings["reports"] = reporting.get("how", "none")
+    settings["report_fields"] = [REPORT_WORDS.get(word, word) for word in reporting.get("fields") or ()]
+    return settings
+
+
+def grade(key, at, row):
+    for name in ("timeLimitUs", "effect"):
+        expect(row.get(name) is not None, f"{key}.{name}", "is missing")
+    limit = number(f"{key}.timeLimitUs", row["timeLimitUs"], 1000)
+    expect(row.get("group", "all") in GROUPS, f"{key}.group", f"one of {', '.join(GROUPS)} is wanted")
+    return {"number": at, "limit_ns": limit,
+            "goal_ns": number(f"{key}.goalTimeUs", row.get("goalTimeUs", limit / 1000), 1000),
+            # An effect of no known kind is held to be binding, which is safe for all.
+            "effect": EFFECTS.get(row["effect"], model.BINDING), "group": row.get("group", "all"),
+            "window_ns": number(f"{key}.keyTtlUs", row.get("keyTtlUs", 0), 1000),
+            "earnings": number(f"{key}.earnings", row.get("earnings", 1.0)),
+            "late_earnings": number(f"{key}.lateEarnings", row.get("lateEarnings", 0.0)),
+            "stream": flag(f"{key}.stream", row.get("stream", False))}
+
+
+def names(env):
+    """What hosts that speak in names need: of service grades, customers, zones and kinds, each by its number."""
+    named = {what: [row.get("name") for row in rows(env, key)]
+             for what, key in (("grades", "serviceGrades"), ("customers", "orgs"))}
+    for what, key in ("zones", "azs"), ("kinds", "models"):
+        named[what] = env.get(key) or []
+        expect(isinstance(named[what], list), key, "a list is wanted")
+    for what, key in ("grades", "serviceGrades"), ("customers", "orgs"), ("zones", "azs"), ("kinds", "models"):
+        for at, name in enumerate(named[what]):
+            expect(isinstance(name, str) and name, f"{key}[{at}].name" if key in ("serviceGrades", "orgs") else
+                   f"{key}[{at}]", "a name is wanted")
+    return {what: {name: at for at, name in enumerate(listed)} for what, listed in named.items()}
+
+
+def rows(env, key):
+    found = env.get(key) or []
+    expect(isinstance(found, list), key, "a list is wanted")
+    for at, row in enumerate(found):
+        expect(isinstance(row, dict), f"{key}[{at}]", "an object is wanted")
+    return found
+
+
+def number(key, value, factor=1):
+    expect(isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < 2 ** 62, key,
+           f"a number from zero up is wanted, not {value!r:.40}")
+    return round(value * factor) if factor != 1 else value
+
+
+def flag(key, value):
+    expect(isinstance(value, bool), key, f"true or false is wanted, not {value!r:.40}")
+    return value
+
+
+def expect(holds, key, text):
+    if not holds:
+        raise model.Missing(f"settings: {key}: {text}")
--- a/pepperhook/wirehost/instance.py
+++ b/pepperhook/wirehost/instance.py
@@ -3,8 +3,8 @@
 import json
 import struct
 
-from pepperhook import model, policy
-from pepperhook.wirehost import codec, settings
+from pepperhook import model, policy, settings
+from pepperhook.wirehost import codec
 
 STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
 OUTCOMES = {10: model.FULFILLED, 20: model.ERROR, 30: model.FULL, 40: model.TIMED_OUT, 50: model.UNCONNECTED,
@@ -45,7 +45,7 @@
     def attach(self, now, body):
         seed, size = codec.unpack(ATTACH, body, "ATTACH")
         env = json.loads(body[ATTACH.size:ATTACH.size + size].decode("utf-8"))
-        values = settings.from_wire(env)
+        values = settings.read(env)
         self.fields, self.grades = values["report_fields"], values["grades"]
         self.upstreams, self.operations, self.customers = {}, {}, len(values["customers"])
         self.balancer = policy.Balancer(values, seed, now)
