--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -6,46 +6,18 @@
 import signal
 import sys
 
-from pepperhook import policy
 from pepperhook.net import config, log
-from pepperhook.net.clients import Clients
-from pepperhook.net.core import Core
-from pepperhook.net.counters import Counters
-from pepperhook.net.discovery import Discovery
-from pepperhook.net.operation import Operations
-from pepperhook.net.upstreams import Upstreams
-
-ACCEPT_S = 0.5      # after SIGTERM, connections still come for a moment
-LEAVE_S = 0.3       # beyond the longest time limit, for the last answers to be written
+from pepperhook.net.node import Node
 
 
 async def serve(told, logger):
-    counters = Counters(logger)
-    core = Core(logger, counters)
-    upstreams = Upstreams(core, counters, told.settings, told.sockets // 3)
-    discovery = Discovery(core, logger, counters, told, upstreams)
-    operations = Operations(core, logger, counters)
-    clients = Clients(core, logger, counters, told, operations, discovery)
-    stop = asyncio.Event()
+    stop, node = asyncio.Event(), Node(told, logger)
     for number in signal.SIGTERM, signal.SIGINT:
-        core.loop.add_signal_handler(number, stop.set)
-    core.loop.add_signal_handler(signal.SIGUSR1, counters.show)
-    core.start(policy.Balancer(told.settings, told.seed, core.now()), upstreams, discovery)
-    if told.known:
-        try:
-            discovery.take(told.known)
-        except ValueError as problem:
-            logger.warning("known_list_unusable", error=problem)
-    await clients.open()
-    logger.info("started", name=told.name, listen="{}:{}".format(*told.listen), tier=told.settings.get("tier", 0))
+        node.core.loop.add_signal_handler(number, stop.set)
+    node.core.loop.add_signal_handler(signal.SIGUSR1, node.counters.show)
+    await node.start()
     await stop.wait()
-    logger.info("leaving", under_way=len(operations.tasks))
-    await clients.close(ACCEPT_S, clients.longest_s + LEAVE_S - ACCEPT_S)
-    core.close()
-    await discovery.close()
-    await upstreams.close()
-    counters.show()
-    logger.info("ended")
+    await node.leave()
 
 
 def main():
--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -1,15 +1,19 @@
 """Clients: takes their operations in, decodes what decisions need, and writes the one final answer."""
 
 import asyncio
+from contextlib import suppress
 
 from aiohttp import web
 
 from pepperhook import model
-from pepperhook.net.upstreams import FORWARDED, MOST_BODY, Message
+from pepperhook.net import http
+from pepperhook.net.upstreams import FORWARDED, Message
 
 IDLE_S = 75             # a kept connection may stand idle this long
 LINGER_S = 1            # how long the rest of a message that was answered early is still read
-MARGIN_NS = 15 * 10 ** 6    # of a time limit: for the way from and to the client, and for a busy core
+MARGIN_NS = 25 * 10 ** 6    # of a time limit: for the way from and to the client, and for a busy core
+FRESH_S = 1             # a connection just made is spared this long
+PART_S = 0.1            # for what is still open when the time to leave is up
 
 
 class Refused(Exception):
@@ -20,6 +24,47 @@
         self.status = status
 
 
+class Connections(web.Server):
+    """Clients' connections, bounded: over the bound those that stand idle longest are closed first."""
+
+    def __init__(self, handler, most, **rest):
+        super().__init__(handler, **rest)
+        self.most, self.idle, self.busy = most, {}, set()
+
+    def connection_made(self, handler, transport):
+        super().connection_made(handler, transport)
+        now = asyncio.get_running_loop().time()
+        self.idle[handler] = now
+        while self.idle and len(self.idle) + len(self.busy) > self.most:
+            oldest, since = next(iter(self.idle.items()))
+            # Against closing, in a rush of new ones, those whose first message is on its way.
+            if now - since < FRESH_S and len(self.idle) + len(self.busy) <= self.most * 5 // 4:
+                break
+            self.part(oldest)
+
+    def connection_lost(self, handler, exc=None):
+        self.idle.pop(handler, None)
+        self.busy.discard(handler)
+        super().connection_lost(handler, exc)
+
+    def part(self, handler):
+        self.idle.pop(handler, None)
+        handler.force_close()
+
+    def begun(self, handler):
+        self.idle.pop(handler, None)
+        self.busy.add(handler)
+
+    def done(self, handler):
+        if handler in self.busy:
+            self.busy.discard(handler)
+            self.idle[handler] = asyncio.get_running_loop().time()
+
+    @property
+    def crowded(self):
+        return len(self.busy) > self.most
+
+
 class Clients:
     def __init__(self, core, log, counters, config, operations, discovery):
         self.core, self.log, self.counters = core, log, counters
@@ -28,26 +73,43 @@
         self.settings, self.listen = config.settings, config.listen
         self.longest_s = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
         self.leaving, self.listener = False, None
-        self.server = web.Server(self.handle, request_factory=self.received, handler_cancellation=True,
-                                 access_log=None, keepalive_timeout=IDLE_S, lingering_time=LINGER_S,
-                                 auto_decompress=False)
+        self.server = Connections(self.serve, config.sockets // 2, request_factory=self.received,
+                                  handler_cancellation=True, access_log=None, keepalive_timeout=IDLE_S,
+                                  lingering_time=LINGER_S, auto_decompress=False)
 
     def received(self, message, payload, protocol, writer, task):
         return web.BaseRequest(message, payload, protocol, writer, task, self.core.loop,
-                               client_max_size=MOST_BODY)
+                               client_max_size=http.MOST_BODY)
 
     async def open(self):
         host, port = self.listen
         self.listener = await self.core.loop.create_server(self.server, host, port, backlog=1024)
 
+    async def serve(self, request):
+        connection = request.protocol
+        self.server.begun(connection)
+        try:
+            response = await self.handle(request)
+            if self.leaving or self.server.crowded:
+                response.force_close()
+            # Written here, so that no connection counts as idle before its answer is out.
+            with suppress(ConnectionError):
+                await response.prepare(request)
+                await response.write_eof()
+            return response
+        finally:
+            self.server.done(connection)
+
     async def handle(self, request):
         if request.path == "/_health" and request.method == "GET":
             serving = self.discovery.ready
             return self.plain(200 if serving else 503, "serving\n" if serving else "no list of upstreams yet\n")
-        received = self.core.now()
         try:
             message = await self.message(request)
-            operation = self.operation(request, message, received)
+            if self.server.crowded:
+                # There are no sockets to work for it with; nothing was sent, so trying again is harmless.
+                raise Refused(503, "too many connections")
+            operation = self.operation(request)
         except Refused as problem:
             self.counters.add("not taken")
             self.log.info("not_taken", status=problem.status, why=problem)
@@ -59,20 +121,28 @@
 
     async def message(self, request):
         """The whole message; half of one is given up after the longest time limit."""
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0
         try:
+            if (request.content_length or 0) > http.MOST_BODY:
+                raise web.HTTPRequestEntityTooLarge(http.MOST_BODY, request.content_length)
+            if request.headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                request.writer.output_size = 0
             async with asyncio.timeout(self.longest_s):
                 body = await request.read()
         except web.HTTPRequestEntityTooLarge:
-            raise Refused(413, f"a body of at most {MOST_BODY} bytes is wanted") from None
+            raise Refused(413, f"a body of at most {http.MOST_BODY} bytes is wanted") from None
         except TimeoutError:
             raise Refused(408, "the rest of the message did not come") from None
         headers = [(name, request.headers[name]) for name in FORWARDED if name in request.headers]
-        return Message(request.method, request.raw_path, headers, body)
-
-    def operation(self, request, message, received):
+        for name, value in headers:
+            if not value.isascii():
+                raise Refused(400, f"{name}: plain ASCII is wanted")
+        target = request.raw_path
+        if not target.startswith("/"):
+            target = request.rel_url.raw_path_qs    # the absolute form: the rest of it is this balancer's own address
+        return Message(request.method, target, headers, body)
+
+    def operation(self, request):
         headers = request.headers
         name = request.path.split("/", 2)[1] if request.path.startswith("/") else ""
         number = self.grades.get(name)
@@ -85,9 +155,9 @@
         if grade["effect"] == model.FINGERPRINTED and not headers.get("Idempotency-Key"):
             raise Refused(400, "Idempotency-Key is wanted for this service grade")
         limit = whole(headers, "X-Timeout-Ms")
-        limit = grade["limit_ns"] if limit is None else limit * 10 ** 6
+        limit = grade["limit_ns"] if limit is None else min(grade["limit_ns"], limit * 10 ** 6)
         # Counted from the sending, which nobody tells: the way of the message is in the margin.
-        not_after = received + max(limit // 2, limit - MARGIN_NS)
+        not_after = self.core.now() + max(limit // 2, limit - MARGIN_NS)
         cost = whole(headers, "X-Cost")
         return model.Operation(identity, grade, self.customers.get(headers.get("X-Tenant-Id")), None, not_after,
                                cost * 1000 if cost else None, headers.get("X-Retried") == "1")
@@ -102,29 +172,23 @@
                 response.headers["Retry-After"] = f"{answer.after_ns / 1e9:.3f}"
         else:
             response = self.plain(500, "broken off\n")
-        return self.parting(response)
+        return response
 
     def plain(self, status, text):
-        return self.parting(web.Response(status=status, text=text))
-
-    def parting(self, response):
-        if self.leaving:
-            response.force_close()
-        return response
+        return web.Response(status=status, text=text)
 
     async def close(self, accept_s, within_s):
         """Goes on accepting briefly, answers all that was taken, closes connections after their answers."""
         self.leaving = True
         await asyncio.sleep(accept_s)
         self.listener.close()
-        self.server.pre_shutdown()
+        for connection in list(self.server.idle):
+            self.server.part(connection)
         ends = self.core.loop.time() + within_s
-        while self.operations.tasks and self.core.loop.time() < ends:
-            await asyncio.wait(list(self.operations.tasks), timeout=ends - self.core.loop.time())
-        # The last answers are still to be written by their connections' own tasks.
-        while self.server.connections and self.core.loop.time() < ends:
+        while self.server.busy and self.core.loop.time() < ends:
             await asyncio.sleep(0.01)
-        await self.server.shutdown(0.1)
+        # What still reads half a message or writes to a client that does not read is not waited for any longer.
+        await self.server.shutdown(PART_S)
 
 
 def whole(headers, name):
--- a/pepperhook/net/config.py
+++ b/pepperhook/net/config.py
@@ -1,6 +1,7 @@
 """What the platform tells a balancer: environment variables and one JSON file, checked and given defaults."""
 
 import json
+import resource
 from dataclasses import dataclass
 
 from pepperhook import model, settings
@@ -74,7 +75,8 @@
     most = (limits or {}).get("sockets", SOCKETS)
     if not isinstance(most, int) or isinstance(most, bool) or most < 64:
         raise Faulty(f"limits.sockets: a whole number from 64 up is wanted, not {most!r:.40}")
-    return most
+    held = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return most if held == resource.RLIM_INFINITY else min(most, held)
 
 
 def known(value):
--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -3,13 +3,14 @@
 import asyncio
 import json
 
-import aiohttp
-
 from pepperhook import model
+from pepperhook.net import http
 
 STATES = {"ready": model.READY, "draining": model.DRAINING, "gone": model.GONE}
 ASK_S = 1.5             # longest an answer may take beyond the wait that was asked for
 LONGEST_WAIT_S = 20
+EARLY_S, PAUSE_S = 0.05, 0.1    # an answer with no news that comes this soon is followed by a pause
+MOST_LIST = 4 * 1024 * 1024
 
 
 class Broken(ValueError):
@@ -26,9 +27,7 @@
         self.known, self.version, self.tasks, self.ready = {}, None, {}, False
         # Short against the time after which silence counts as being told: a dead list is noticed before.
         self.wait_s = min(LONGEST_WAIT_S, config.settings.get("ask_within_ns", 10 ** 10) / 2e9)
-        self.session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
-            connector=aiohttp.TCPConnector(limit=4, use_dns_cache=False))
+        self.session = http.session(limit=4)
 
     def want(self, what):
         """ "watch": news from now on, until it breaks; "fetch": the whole list once."""
@@ -39,9 +38,14 @@
 
     async def watch(self):
         """Asks again at once after each answer, as a gap would begin a new watch."""
-        while await self.ask({} if self.version is None else {
-                "since": str(self.version), "timeout_ms": str(int(self.wait_s * 1000))}):
-            pass
+        going = True
+        while going:
+            begun, before = self.core.loop.time(), self.version
+            going = await self.ask({} if self.version is None else {
+                "since": str(self.version), "timeout_ms": str(int(self.wait_s * 1000))})
+            if going and self.version == before and self.core.loop.time() < begun + EARLY_S:
+                # Against a list that does not wait as asked being asked without end; the watch outlives the pause.
+                await asyncio.sleep(PAUSE_S)
 
     async def fetch(self):
         await self.ask({})
@@ -51,12 +55,12 @@
         try:
             limit = ASK_S + (self.wait_s if query else 0)
             async with self.session.get(self.base, params=query, allow_redirects=False,
-                                        timeout=aiohttp.ClientTimeout(total=limit)) as response:
-                body = await response.read()
+                                        timeout=http.limits(limit)) as response:
+                body = await http.whole_body(response, MOST_LIST)
                 if response.status != 200:
                     raise Broken(f"status {response.status}")
             self.take(json.loads(body))
-        except (aiohttp.ClientError, OSError, ValueError) as problem:
+        except http.UNSENT + http.BROKEN + (ValueError, RecursionError) as problem:
             self.counters.add("list failed")
             self.log.warning("list_failed", error=f"{type(problem).__name__}: {problem}")
             self.core.tell(self.core.module.listing_failed)
@@ -111,6 +115,8 @@
         return row["host"], row["dial"], fields, STATES[row["health"]], int(numbers["born_ms"] * 10 ** 6)
 
     async def close(self):
-        for task in list(self.tasks.values()):
+        tasks = list(self.tasks.values())
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.session.close()
--- /dev/null
+++ b/pepperhook/net/http.py
@@ -0,0 +1,61 @@
+"""Client sessions that send just what they are told to, once, and say of a failure whether anything went out."""
+
+import aiohttp
+
+MOST_BODY = 64 * 1024
+NEVER_CEILED = 10 ** 9      # the library rounds limits above five seconds up to whole ones, and answers come late
+
+
+class Dropped(Exception):
+    """The connection broke after something may have been written."""
+
+
+class Unwritten(Exception):
+    """The connection was gone before anything was written."""
+
+
+class Oversized(Exception):
+    """An answer with more than 64 KiB of body."""
+
+
+UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, Unwritten)
+BROKEN = (aiohttp.ClientError, Dropped, Oversized, OSError)
+
+
+async def once(request, handler):
+    """Against the library's own second sending of a GET when a kept connection drops: a dispatch nobody counts.
+
+    It sends again after the errors caught here, so they leave under names that it does not know.
+    """
+    try:
+        return await handler(request)
+    except UNSENT:
+        raise
+    except aiohttp.ClientConnectionResetError as problem:
+        # Raised where the transport was closing before a message without a body was written in one piece. With a
+        # body the library reports another error, as some of it may have gone out.
+        raise Unwritten(str(problem)) from problem
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as problem:
+        raise Dropped(str(problem)) from problem
+
+
+def session(**connections):
+    """No redirects, cookies, proxies, decompression or quoting, and no headers of the library's own."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(use_dns_cache=False, **connections), cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False, trust_env=False, requote_redirect_url=False, middlewares=(once,),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"))
+
+
+def limits(total_s, connect_s=None):
+    return aiohttp.ClientTimeout(total=total_s, connect=connect_s, ceil_threshold=NEVER_CEILED)
+
+
+async def whole_body(response, most=MOST_BODY):
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > most:
+            # Leaving the answer half read closes its connection.
+            raise Oversized(f"over {most} bytes")
+    return bytes(body)
--- a/pepperhook/net/log.py
+++ b/pepperhook/net/log.py
@@ -54,6 +54,4 @@
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValue())
     logging.basicConfig(handlers=[handler], level=logging.INFO, force=True)
-    # Bad messages of clients are counted and answered here; the library's own lines would double that.
-    logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
     return Log(logging.getLogger("pepperhook"))
--- a/pepperhook/net/operation.py
+++ b/pepperhook/net/operation.py
@@ -5,6 +5,8 @@
 
 from pepperhook import model
 
+OVERDUE_S = 0.005   # past the time limit, within which the module's own last word comes
+
 
 @dataclass
 class Answer:
@@ -36,13 +38,18 @@
         answer.add_done_callback(lambda future: future.cancelled() and inbox.put_nowait(("left",)))
         out = set()
         try:
-            core.tell(module.take, operation)
-            while not answer.done() or out:
+            if not answer.done():
+                core.tell(module.take, operation)
+            # What is left in the inbox is seen to even after the answer: the module counts on each result's end.
+            while not answer.done() or out or not inbox.empty():
                 what, *about = await self.next(inbox, operation, out)
                 if what == "dispatch":
                     dispatch, for_ns = about
                     out.add(dispatch)
-                    core.upstreams.send(dispatch, for_ns, message, inbox)
+                    if answer.done():
+                        inbox.put_nowait(("ended", dispatch, model.MOOT, None))
+                    else:
+                        core.upstreams.send(dispatch, for_ns, message, inbox)
                 elif what == "call off":
                     core.upstreams.call_off(about[0])
                 elif what == "ended":
@@ -75,10 +82,17 @@
             answer.set_result(what)
 
     async def next(self, inbox, operation, out):
-        if out:
+        if out or not inbox.empty():
             return await inbox.get()    # a dispatch always ends by itself
         try:
-            async with asyncio.timeout_at((operation.not_after - self.core.offset) / 1e9 + 0.005):
+            async with asyncio.timeout_at((operation.not_after - self.core.offset) / 1e9 + OVERDUE_S):
                 return await inbox.get()
         except TimeoutError:
             return ("overdue",)
+
+    async def close(self):
+        """Ends what is left when the time to leave is up."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -1,43 +1,21 @@
 """Sends dispatches and probes to upstreams, and tells how each ended. Owns the connections to upstreams."""
 
 import asyncio
+import socket
 from dataclasses import dataclass
+from errno import EMFILE
+from weakref import WeakSet
 
-import aiohttp
 from yarl import URL
 
 from pepperhook import model
+from pepperhook.net import http
 
 FORWARDED = ("X-Request-ID", "Idempotency-Key", "Content-Type")
 NOT_PROCESSED = "X-Not-Processed"
-MOST_BODY = 64 * 1024
 PROBE_CONNECTS = 4      # a probe may take as many times the limit for connecting
 
 
-class Dropped(Exception):
-    """The connection broke after something may have been written."""
-
-
-class Unwritten(Exception):
-    """The connection was gone before anything was written."""
-
-
-async def once(request, handler):
-    """Against the library's own second sending of a GET when a kept connection drops: a dispatch nobody counts.
-
-    It resends after the errors caught here, so they leave under names that it does not know.
-    """
-    try:
-        return await handler(request)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        raise
-    except aiohttp.ClientConnectionResetError as problem:
-        # Raised where the transport was closing before a write; nothing of this message has gone out then.
-        raise Unwritten(str(problem)) from problem
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as problem:
-        raise Dropped(str(problem)) from problem
-
-
 @dataclass
 class Message:
     """What goes on unchanged: the bytes that came."""
@@ -55,23 +33,30 @@
 
 
 class Upstreams:
-    def __init__(self, core, counters, settings, most_connections):
-        self.core, self.counters = core, counters
-        self.dials, self.tasks, self.probes = {}, {}, set()
+    def __init__(self, core, log, counters, settings, most_sockets):
+        self.core, self.log, self.counters, self.most_sockets = core, log, counters, most_sockets
+        self.dials, self.tasks, self.probes, self.sockets = {}, {}, set(), WeakSet()
         self.connect_s = settings.get("connect_limit_ns", 10 ** 9) / 1e9
         # Well before the upstream closes an idle connection, as what is written to it from then on is a reset.
         idle_s = settings.get("idle_ns", 15 * 10 ** 9) / 1e9
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=most_connections, use_dns_cache=False,
-                                           keepalive_timeout=max(0.1, min(idle_s - 2, 0.8 * idle_s))),
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
-            requote_redirect_url=False, middlewares=(once,),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"))
+        self.session = http.session(limit=0, keepalive_timeout=max(0.1, min(idle_s - 2, 0.8 * idle_s)),
+                                    socket_factory=self.socket)
+
+    def socket(self, address):
+        """Bounds all connections to upstreams, idle ones too: one more would take descriptors from clients."""
+        open_now = [known for known in self.sockets if known.fileno() != -1]
+        if len(open_now) >= self.most_sockets:
+            self.counters.add("connections over the bound")
+            raise OSError(EMFILE, "connections to upstreams are at their bound")
+        made = socket.socket(*address[:3])
+        self.sockets.add(made)
+        return made
 
     def send(self, dispatch, for_ns, message, inbox):
         """Sends; the inbox gets ("ended", dispatch, outcome, what was received) once, whatever happens."""
-        task = self.core.loop.create_task(self.carry(dispatch, for_ns, message, inbox))
-        self.tasks[dispatch] = task
+        self.tasks[dispatch] = self.core.loop.create_task(self.carry(dispatch, for_ns, message))
+        # Also when the task is called off before its first step, which then never runs.
+        self.tasks[dispatch].add_done_callback(lambda task: self.ended(task, dispatch, inbox))
         self.counters.add("dispatched")
 
     def call_off(self, dispatch):
@@ -79,38 +64,37 @@
         if task is not None:
             task.cancel()
 
-    async def carry(self, dispatch, for_ns, message, inbox):
-        outcome, received = model.CALLED_OFF, None
-        try:
-            outcome, received = await self.attempt(dispatch, for_ns, message)
-        finally:
-            del self.tasks[dispatch]
-            self.counters.add(f"dispatches {outcome}")
-            inbox.put_nowait(("ended", dispatch, outcome, received))
-
-    async def attempt(self, dispatch, for_ns, message):
-        """The outcome, by PROTOCOL's table; whatever is not surely unsent may have run."""
+    def ended(self, task, dispatch, inbox):
+        del self.tasks[dispatch]
+        outcome, received = (model.CALLED_OFF, None) if task.cancelled() else task.result()
+        self.counters.add(f"dispatches {outcome}")
+        inbox.put_nowait(("ended", dispatch, outcome, received))
+
+    async def carry(self, dispatch, for_ns, message):
+        """The outcome and what was received; whatever is not surely unsent may have run."""
+        dial = self.dials.get(dispatch.upstream)
+        if dial is None:
+            return model.UNCONNECTED, None      # gone from the list since it was chosen
         headers = message.headers + [("X-Timeout-Ms", str(max(1, for_ns // 10 ** 6)))]
         try:
             async with self.session.request(
-                    message.method, self.url(dispatch.upstream, message.target), headers=headers,
+                    message.method, URL(f"http://{dial}{message.target}", encoded=True), headers=headers,
                     data=message.body or None, allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(total=for_ns / 1e9, connect=self.connect_s)) as response:
-                body = await response.read()
+                    timeout=http.limits(for_ns / 1e9, self.connect_s)) as response:
+                body = await http.whole_body(response)
                 if response.status == 200:
                     return model.FULFILLED, Received(body, response.headers.get("Content-Type"))
-                if response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1":
-                    return model.FULL, None
-                return model.ERROR, None
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, Unwritten):
+                never_ran = response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1"
+                return (model.FULL if never_ran else model.ERROR), None
+        except http.UNSENT:
             return model.UNCONNECTED, None
         except TimeoutError:
             return model.TIMED_OUT, None
-        except (Dropped, aiohttp.ClientError, OSError):
+        except http.BROKEN:
+            return model.RESET, None
+        except Exception:
+            self.log.exception("dispatch_fault", upstream=dial)
             return model.RESET, None
-
-    def url(self, upstream, target):
-        return URL(f"http://{self.dials[upstream]}{target}", encoded=True)
 
     def probe(self, upstream, tell):
         task = self.core.loop.create_task(self.ask(upstream, tell))
@@ -119,19 +103,21 @@
         self.counters.add("probes")
 
     async def ask(self, upstream, tell):
-        begun, outcome = self.core.now(), model.ERROR
+        begun, outcome = self.core.now(), model.UNCONNECTED
         try:
             async with self.session.get(
-                    self.url(upstream, "/ping"), allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(total=PROBE_CONNECTS * self.connect_s,
-                                                  connect=self.connect_s)) as response:
-                await response.read()
+                    URL(f"http://{self.dials[upstream]}/ping", encoded=True), allow_redirects=False,
+                    timeout=http.limits(PROBE_CONNECTS * self.connect_s, self.connect_s)) as response:
+                await http.whole_body(response)
                 outcome = model.FULFILLED if response.status == 200 else model.ERROR
-        except (aiohttp.ClientError, Dropped, Unwritten, OSError):
-            outcome = model.UNCONNECTED
-        tell(upstream, outcome, self.core.now() - begun)
+        except http.UNSENT + http.BROKEN + (KeyError, ValueError):
+            pass
+        finally:
+            tell(upstream, outcome, self.core.now() - begun)
 
     async def close(self):
-        for task in list(self.tasks.values()) + list(self.probes):
+        tasks = list(self.tasks.values()) + list(self.probes)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.session.close()
