Tests of the balancer on loopback before scripted peers; what a module's fault or a flood leaves is answered

A dispatch chosen for an operation whose life has ended is told to the module as moot, else it stayed in its books. A message that comes while the connections in hand are over the bound gets 503 before its body is read.

--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -35,7 +35,7 @@
         super().connection_made(handler, transport)
         now = asyncio.get_running_loop().time()
         self.idle[handler] = now
-        while self.idle and len(self.idle) + len(self.busy) > self.most:
+        while len(self.idle) > 1 and len(self.idle) + len(self.busy) > self.most:
             oldest, since = next(iter(self.idle.items()))
             # Against closing, in a rush of new ones, those whose first message is on its way.
             if now - since < FRESH_S and len(self.idle) + len(self.busy) <= self.most * 5 // 4:
@@ -102,13 +102,14 @@
 
     async def handle(self, request):
         if request.path == "/_health" and request.method == "GET":
-            serving = self.discovery.ready
-            return self.plain(200 if serving else 503, "serving\n" if serving else "no list of upstreams yet\n")
+            if self.discovery.ready:
+                return self.plain(200, "serving\n")
+            return self.plain(503, "no list of upstreams yet\n")
         try:
-            message = await self.message(request)
             if self.server.crowded:
                 # There are no sockets to work for it with; nothing was sent, so trying again is harmless.
                 raise Refused(503, "too many connections")
+            message = await self.message(request)
             operation = self.operation(request)
         except Refused as problem:
             self.counters.add("not taken")
@@ -139,7 +140,7 @@
                 raise Refused(400, f"{name}: plain ASCII is wanted")
         target = request.raw_path
         if not target.startswith("/"):
-            target = request.rel_url.raw_path_qs    # the absolute form: the rest of it is this balancer's own address
+            target = request.rel_url.raw_path_qs    # the absolute form names this balancer first
         return Message(request.method, target, headers, body)
 
     def operation(self, request):
@@ -159,8 +160,9 @@
         # Counted from the sending, which nobody tells: the way of the message is in the margin.
         not_after = self.core.now() + max(limit // 2, limit - MARGIN_NS)
         cost = whole(headers, "X-Cost")
-        return model.Operation(identity, grade, self.customers.get(headers.get("X-Tenant-Id")), None, not_after,
-                               cost * 1000 if cost else None, headers.get("X-Retried") == "1")
+        customer = self.customers.get(headers.get("X-Tenant-Id"))
+        return model.Operation(identity, grade, customer, None, not_after, cost * 1000 if cost else None,
+                               headers.get("X-Retried") == "1")
 
     def encode(self, answer):
         if answer.kind == "fulfilled":
@@ -187,7 +189,7 @@
         ends = self.core.loop.time() + within_s
         while self.server.busy and self.core.loop.time() < ends:
             await asyncio.sleep(0.01)
-        # What still reads half a message or writes to a client that does not read is not waited for any longer.
+        # Half a message, or a client that does not read its answer, is not waited for any longer.
         await self.server.shutdown(PART_S)
 
 
--- a/pepperhook/net/config.py
+++ b/pepperhook/net/config.py
@@ -45,8 +45,8 @@
             name=str(environ.get("LB_NAME") or told.get("name") or "balancer"),
             listen=address("listen", environ.get("LB_LISTEN") or told.get("listen")),
             discovery=address("discovery", environ.get("LB_DISCOVERY") or told.get("discovery")),
-            seed=seed(told.get("seed", "0")), sockets=sockets(told.get("limits")), known=known(told.get("known")),
-            settings=settings.read(env), names=settings.names(env))
+            seed=seed(told.get("seed", "0")), sockets=sockets(told.get("limits")),
+            known=known(told.get("known")), settings=settings.read(env), names=settings.names(env))
     except model.Missing as problem:
         raise Faulty(str(problem)) from None
 
--- a/pepperhook/net/core.py
+++ b/pepperhook/net/core.py
@@ -3,13 +3,15 @@
 import asyncio
 import time
 
+from pepperhook import model
+
 
 class Core:
     """Calls the module, and hands each result to whom it belongs; keeps the module's wake-ups."""
 
     def __init__(self, log, counters):
         self.log, self.counters, self.loop = log, counters, asyncio.get_running_loop()
-        # One clock for all: never set back, and set to Unix time once, as starts of upstreams are told in that.
+        # One clock for all: never set back, and set to Unix time once, in which upstreams' starts are told.
         self.offset = time.time_ns() - time.monotonic_ns()
         self.module = self.upstreams = self.discovery = None
         self.inboxes = {}       # of each operation under way, by itself
@@ -50,6 +52,9 @@
         inbox = self.inboxes.get(operation)
         if inbox is not None:
             inbox.put_nowait(item)
+        elif item[0] == "dispatch":
+            # Against a dispatch that nobody makes staying in the module's books for good.
+            self.loop.call_soon(self.tell, self.module.ended, item[1], model.MOOT, 0, True)
 
     def probed(self, upstream, outcome, took):
         self.tell(self.module.probed, upstream, outcome, took)
--- a/pepperhook/net/counters.py
+++ b/pepperhook/net/counters.py
@@ -14,4 +14,5 @@
         return self.counts[what]
 
     def show(self):
-        self.log.info("counters", **{"_".join(what.split()): count for what, count in sorted(self.counts.items())})
+        counts = sorted(self.counts.items())
+        self.log.info("counters", **{"_".join(what.split()): count for what, count in counts})
--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -44,7 +44,7 @@
             going = await self.ask({} if self.version is None else {
                 "since": str(self.version), "timeout_ms": str(int(self.wait_s * 1000))})
             if going and self.version == before and self.core.loop.time() < begun + EARLY_S:
-                # Against a list that does not wait as asked being asked without end; the watch outlives the pause.
+                # Against asking a list that does not wait without end; the watch outlives the pause.
                 await asyncio.sleep(PAUSE_S)
 
     async def fetch(self):
@@ -90,17 +90,16 @@
             rows.append((upstream, state, launched))
         self.core.tell(self.core.module.listing, whole, rows)
         self.version = version
-        named = {upstream for upstream, state, _ in rows if state != model.GONE}
-        for upstream in [u for u in self.known.values() if u not in named and (whole or u.state == model.GONE)]:
-            # Dispatches still out need no address any more.
-            self.known.pop(upstream.address.decode())
-            self.upstreams.dials.pop(upstream, None)
+        for host, upstream in list(self.known.items()):
+            if upstream.state == model.GONE:
+                # Dispatches still out need no address any more.
+                del self.known[host], self.upstreams.dials[upstream]
         if not self.ready:
             self.log.info("list_known", version=version, upstreams=len(self.known))
         self.ready = True
 
     def entry(self, at, row):
-        if not isinstance(row, dict) or not isinstance(row.get("host"), str) or not isinstance(row.get("dial"), str):
+        if not isinstance(row, dict) or not all(isinstance(row.get(key), str) for key in ("host", "dial")):
             raise Broken(f"hosts[{at}]: host and dial are wanted")
         if row.get("health") not in STATES:
             raise Broken(f"hosts[{at}].health: {row.get('health')!r:.40}")
--- a/pepperhook/net/http.py
+++ b/pepperhook/net/http.py
@@ -1,9 +1,9 @@
-"""Client sessions that send just what they are told to, once, and say of a failure whether anything went out."""
+"""Client sessions that send what they are told to, once, and tell of a failure whether anything went out."""
 
 import aiohttp
 
 MOST_BODY = 64 * 1024
-NEVER_CEILED = 10 ** 9      # the library rounds limits above five seconds up to whole ones, and answers come late
+NEVER_CEILED = 10 ** 9      # else the library rounds limits above five seconds up, and answers come late
 
 
 class Dropped(Exception):
@@ -23,7 +23,7 @@
 
 
 async def once(request, handler):
-    """Against the library's own second sending of a GET when a kept connection drops: a dispatch nobody counts.
+    """Against the library sending a GET again when a kept connection drops: a dispatch that nobody counts.
 
     It sends again after the errors caught here, so they leave under names that it does not know.
     """
@@ -32,8 +32,8 @@
     except UNSENT:
         raise
     except aiohttp.ClientConnectionResetError as problem:
-        # Raised where the transport was closing before a message without a body was written in one piece. With a
-        # body the library reports another error, as some of it may have gone out.
+        # Raised where the transport was closing before a message without a body was written, which is done in
+        # one piece. With a body the library reports another error, as some of it may have gone out.
         raise Unwritten(str(problem)) from problem
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as problem:
         raise Dropped(str(problem)) from problem
@@ -42,8 +42,9 @@
 def session(**connections):
     """No redirects, cookies, proxies, decompression or quoting, and no headers of the library's own."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(use_dns_cache=False, **connections), cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False, trust_env=False, requote_redirect_url=False, middlewares=(once,),
+        connector=aiohttp.TCPConnector(use_dns_cache=False, **connections),
+        cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
+        requote_redirect_url=False, middlewares=(once,),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"))
 
 
--- a/pepperhook/net/operation.py
+++ b/pepperhook/net/operation.py
@@ -25,7 +25,7 @@
         self.core, self.log, self.counters, self.tasks = core, log, counters, set()
 
     def begin(self, operation, message):
-        """Takes an operation; the future gets its answer, and cancelling it tells that the client has left."""
+        """Takes an operation; the future gets its answer; cancelling it tells that the client has left."""
         answer = self.core.loop.create_future()
         task = self.core.loop.create_task(self.live(operation, message, answer))
         self.tasks.add(task)
@@ -40,7 +40,7 @@
         try:
             if not answer.done():
                 core.tell(module.take, operation)
-            # What is left in the inbox is seen to even after the answer: the module counts on each result's end.
+            # What the inbox holds is seen to after the answer too: the module counts on each dispatch's end.
             while not answer.done() or out or not inbox.empty():
                 what, *about = await self.next(inbox, operation, out)
                 if what == "dispatch":
@@ -69,8 +69,9 @@
                     # Against a fault of the module leaving an operation unanswered.
                     self.log.error("operation_overdue", id=operation.id)
                     self.give(answer, Answer("broken off"))
-                    core.tell(module.left, operation)
         finally:
+            if not operation.over:
+                core.tell(module.left, operation)
             del core.inboxes[operation]
             for dispatch in out:
                 core.upstreams.call_off(dispatch)
--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -37,13 +37,13 @@
         self.core, self.log, self.counters, self.most_sockets = core, log, counters, most_sockets
         self.dials, self.tasks, self.probes, self.sockets = {}, {}, set(), WeakSet()
         self.connect_s = settings.get("connect_limit_ns", 10 ** 9) / 1e9
-        # Well before the upstream closes an idle connection, as what is written to it from then on is a reset.
+        # Well before the upstream closes an idle connection: what is written to it from then on is a reset.
         idle_s = settings.get("idle_ns", 15 * 10 ** 9) / 1e9
         self.session = http.session(limit=0, keepalive_timeout=max(0.1, min(idle_s - 2, 0.8 * idle_s)),
                                     socket_factory=self.socket)
 
     def socket(self, address):
-        """Bounds all connections to upstreams, idle ones too: one more would take descriptors from clients."""
+        """Bounds all connections to upstreams, idle ones too, against their taking clients' descriptors."""
         open_now = [known for known in self.sockets if known.fileno() != -1]
         if len(open_now) >= self.most_sockets:
             self.counters.add("connections over the bound")
--- a/pepperhook/settings.py
+++ b/pepperhook/settings.py
@@ -1,5 +1,5 @@
-"""The one reader of a deployment's settings: checks them, gives defaults, and turns them into the module's plain
-map in the project's words, times in nanoseconds. Both hosts use it; what is wrong is named by its key."""
+"""The one reader of a deployment's settings, for both hosts: checks them, gives defaults, and turns them into
+the module's plain map in the project's words, times in nanoseconds. What is wrong is named by its key."""
 
 from pepperhook import model
 
@@ -33,13 +33,13 @@
     expect(isinstance(env, dict), "settings", "an object is wanted")
     settings = {"asks": env.get("discovery", "push") == "ask", "per_work": env.get("earningsPer") == "work",
                 "customers": [], "grades": []}
-    for key, (name, factor) in PLAIN.items():
+    for key, (ours, factor) in PLAIN.items():
         value = env
         for part in key.split("."):
             expect(value is None or isinstance(value, dict), key, "an object is wanted around it")
             value = None if value is None else value.get(part)
         if value is not None:
-            settings[name] = flag(key, value) if factor is None else number(key, value, factor)
+            settings[ours] = flag(key, value) if factor is None else number(key, value, factor)
     for at, row in enumerate(rows(env, "orgs")):
         key = f"orgs[{at}]"
         settings["customers"].append({"quota": number(f"{key}.quotaPerS", row.get("quotaPerS", 0.0)),
@@ -55,8 +55,8 @@
 
 
 def grade(key, at, row):
-    for name in ("timeLimitUs", "effect"):
-        expect(row.get(name) is not None, f"{key}.{name}", "is missing")
+    for wanted in ("timeLimitUs", "effect"):
+        expect(row.get(wanted) is not None, f"{key}.{wanted}", "is missing")
     limit = number(f"{key}.timeLimitUs", row["timeLimitUs"], 1000)
     expect(row.get("group", "all") in GROUPS, f"{key}.group", f"one of {', '.join(GROUPS)} is wanted")
     return {"number": at, "limit_ns": limit,
@@ -70,17 +70,21 @@
 
 
 def names(env):
-    """What hosts that speak in names need: of service grades, customers, zones and kinds, each by its number."""
-    named = {what: [row.get("name") for row in rows(env, key)]
-             for what, key in (("grades", "serviceGrades"), ("customers", "orgs"))}
+    """For hosts that speak in names: the numbers of service grades, customers, zones and kinds, by name."""
+    named = {}
+    for what, key in ("grades", "serviceGrades"), ("customers", "orgs"):
+        listed = enumerate(rows(env, key))
+        named[what] = {name(f"{key}[{at}].name", row.get("name")): at for at, row in listed}
     for what, key in ("zones", "azs"), ("kinds", "models"):
-        named[what] = env.get(key) or []
-        expect(isinstance(named[what], list), key, "a list is wanted")
-    for what, key in ("grades", "serviceGrades"), ("customers", "orgs"), ("zones", "azs"), ("kinds", "models"):
-        for at, name in enumerate(named[what]):
-            expect(isinstance(name, str) and name, f"{key}[{at}].name" if key in ("serviceGrades", "orgs") else
-                   f"{key}[{at}]", "a name is wanted")
-    return {what: {name: at for at, name in enumerate(listed)} for what, listed in named.items()}
+        listed = env.get(key) or []
+        expect(isinstance(listed, list), key, "a list is wanted")
+        named[what] = {name(f"{key}[{at}]", value): at for at, value in enumerate(listed)}
+    return named
+
+
+def name(key, value):
+    expect(isinstance(value, str) and value, key, f"a name is wanted, not {value!r:.40}")
+    return value
 
 
 def rows(env, key):
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,319 @@
+"""The balancer on loopback sockets, before small scripted peers."""
+
+import asyncio
+import random
+
+import pytest
+
+from pepperhook import model
+from pepperhook.net import http
+from pepperhook.net.upstreams import Message
+from tests.world import ENV, S, Peer, Running, answer, header, hosts, loopback
+
+
+@loopback
+async def test_what_goes_on_unchanged_are_the_bytes_that_came():
+    body, reply = bytes(range(256)) * 8, b"\x00\x1f\x8b kept as it is"
+    async with Peer(lambda *_: answer(body=reply, more=b"Content-Encoding: gzip\r\n")) as peer, Running(
+            [peer.dial]) as balancer:
+        target = "/hold/a%2Fb//c;d?q=%41+b&&z='\"&e=\u00e9".encode().decode("latin-1").replace('"', "%22")
+        target = target.encode("ascii", "ignore").decode()
+        got = await balancer.ask(target, b"POST", body, Idempotency_Key="k1", X_Request_ID="id1", Cookie="a=b",
+                                 Content_Type="x/y")
+    assert got == (200, reply)
+    head, sent = peer.seen[0]
+    assert head.startswith(b"POST " + target.encode() + b" HTTP/1.1\r\n") and sent == body
+    assert header(head, b"X-Request-ID") == b"id1" and header(head, b"Idempotency-Key") == b"k1"
+    assert header(head, b"Content-Type") == b"x/y" and header(head, b"User-Agent") is None
+    assert 1000 < int(header(head, b"X-Timeout-Ms")) <= 2000
+
+
+@loopback
+async def test_a_kept_connection_that_drops_is_one_dispatch_for_each_message_seen():
+    # Against the client library sending a GET again by itself.
+    fates = iter([answer()] + [(b"",)] * 50)
+    async with Peer(lambda *_: next(fates)) as peer, Running([peer.dial]) as balancer:
+        assert (await balancer.ask())[0] == 200
+        for _ in range(5):
+            assert (await balancer.ask())[0] in (500, 503)
+        counts = balancer.node.counters
+    assert len(peer.seen) == counts["dispatched"] >= 6
+    assert counts["dispatches reset"] == counts["dispatched"] - 1
+
+
+CASES = [(answer(), model.FULFILLED), (answer(500), model.ERROR), (answer(204, b""), model.ERROR),
+         (answer(503, more=b"X-Not-Processed: 1\r\n"), model.FULL), (answer(503), model.ERROR),
+         (answer(504, more=b"X-Not-Processed: 1\r\n"), model.FULL),
+         (answer(500, more=b"X-Not-Processed: 1\r\n"), model.ERROR),
+         (answer(302, more=b"Location: /other\r\n"), model.ERROR), ((b"",), model.RESET),
+         ((answer()[:-2],), model.RESET), (b"no HTTP\r\n\r\n", model.RESET),
+         (answer(body=b"x" * 65537), model.RESET), (None, model.TIMED_OUT)]
+
+
+@pytest.mark.parametrize("said, outcome", CASES)
+@loopback
+async def test_outcomes(said, outcome):
+    async with Peer(lambda *_: said) as peer, Running([peer.dial]) as balancer:
+        status, _ = await balancer.ask("/pay", b"POST", b"1", X_Timeout_Ms="300")
+        counts = balancer.node.counters
+        assert counts[f"dispatches {outcome}"] >= 1
+        # A shed reply promises that trying again is harmless: only after what surely never ran.
+        assert status == {model.FULFILLED: 200, model.FULL: 503}.get(outcome, 500)
+        assert outcome == model.FULL or len(peer.seen) == 1
+        if outcome == model.TIMED_OUT:
+            while not peer.lost:
+                await asyncio.sleep(0.01)       # what is given up has its connection closed
+
+
+@loopback
+async def test_an_upstream_that_refuses_never_ran():
+    async with Peer(lambda *_: answer()) as peer:
+        pass
+    async with Running([peer.dial]) as balancer:
+        assert (await balancer.ask("/pay", b"POST", b"1", X_Timeout_Ms="300"))[0] == 503
+        assert balancer.node.counters["dispatches unconnected"] >= 1
+
+
+def test_limits_above_five_seconds_are_not_rounded_up():
+    assert http.limits(500.1).ceil_threshold > 500.1
+
+
+@loopback
+async def test_random_operations_get_one_answer_each_and_no_effect_twice():
+    chance, ran = random.Random(4), {}
+
+    async def script(head, _):
+        await asyncio.sleep(chance.random() * 0.02)
+        said = chance.choice([answer()] * 6 + [answer(500), answer(503, more=b"X-Not-Processed: 1\r\n"), (b"",)])
+        if b"X-Not-Processed" not in (said[0] if isinstance(said, tuple) else said):
+            ran.setdefault(header(head, b"X-Request-ID"), []).append(head.split()[1])
+        return said
+
+    async with Peer(script) as one, Peer(script) as two, Peer(script) as three, Running(
+            [one.dial, two.dial, three.dial]) as balancer:
+        async def client(number):
+            for at in range(25):
+                await asyncio.sleep(chance.random() * 0.02)
+                path, method = chance.choice([("/look", b"GET"), ("/pay", b"POST"), ("/hold", b"POST")])
+                key = {"Idempotency_Key": f"k{number}-{at}"} if path == "/hold" else {}
+                named = f"{number}-{at}"
+                reader, writer = await balancer.send(path, method, X_Request_ID=named, **key)
+                if chance.random() < 0.1:
+                    writer.close()      # it leaves
+                    continue
+                status, _ = await balancer.answer(reader)
+                writer.write_eof()
+                assert await reader.read() == b"", "one answer and nothing after it"
+                writer.close()
+                times = len(ran.get(named.encode(), ()))
+                assert status in (200, 500, 503)
+                assert status != 200 or times >= 1
+                assert path != "/pay" or times <= 1
+                assert path != "/pay" or status != 503 or times == 0
+
+        await asyncio.gather(*(client(number) for number in range(12)))
+        counts = balancer.node.counters
+        assert counts["taken"] >= 250
+        assert len(one.seen) + len(two.seen) + len(three.seen) <= counts["dispatched"]
+        assert counts["dispatched"] > counts["taken"] * 0.8
+
+
+@loopback
+async def test_a_client_that_vanishes_leaves_nothing_behind():
+    release = asyncio.Event()
+
+    async def script(*_):
+        await release.wait()
+        return answer()
+
+    async with Peer(script) as peer, Running([peer.dial]) as balancer:
+        for at in range(5):
+            _, writer = await balancer.send()
+            while balancer.node.counters["taken"] == at:
+                await asyncio.sleep(0.01)
+            writer.close()
+        _, writer = await balancer.send("/pay", b"POST", b"1")
+        writer.transport.abort()
+        release.set()
+        while balancer.node.operations.tasks:
+            await asyncio.sleep(0.01)
+        counts = balancer.node.counters
+        assert counts["clients left"] >= 5 and counts["answered fulfilled"] == 0
+
+
+@pytest.mark.parametrize("status, path, method, more", [
+    (404, "/unknown", b"GET", {}), (404, "/", b"GET", {}), (404, "*", b"OPTIONS", {}),
+    (400, "/look", b"GET", {"X_Request_ID": None}), (400, "/look", b"GET", {"X_Request_ID": ""}),
+    (400, "/look", b"GET", {"X_Request_ID": "\u00e9"}), (400, "/look", b"GET", {"X_Timeout_Ms": "soon"}),
+    (400, "/look", b"GET", {"X_Timeout_Ms": "-5"}), (400, "/look", b"GET", {"X_Cost": "1.5"}),
+    (400, "/hold", b"POST", {}), (400, "/look", b"GET", {"Content_Length": "x"}),
+    (413, "/pay", b"POST", {"Content_Length": "65537"}), (413, "/pay", b"POST", {"body": b"x" * 70000}),
+    (200, "/look", b"GET", {"X_Tenant_Id": "nobody", "X_Timeout_Ms": None, "X_Cost": "50000"}),
+    (200, "/pay", b"POST", {"body": b"x" * 65536}), (503, "/look", b"GET", {"X_Timeout_Ms": "0"})])
+@loopback
+async def test_each_message_gets_one_clear_answer(status, path, method, more):
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        assert (await balancer.ask(path, method, **more))[0] == status
+        assert len(peer.seen) == (status == 200)
+        assert (await balancer.ask())[0] == 200, "the balancer goes on"
+
+
+@loopback
+async def test_half_a_message_is_no_operation():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        whole = balancer.message("/pay", b"POST", b"12345")
+        for most in (10, 60, len(whole) - 1):
+            _, writer = await asyncio.open_connection("127.0.0.1", balancer.port)
+            writer.write(whole[:most])
+            await asyncio.sleep(0.02)
+            writer.close()
+        assert (await balancer.ask())[0] == 200
+        assert balancer.node.counters["taken"] == 1 and len(peer.seen) == 1
+
+
+@loopback
+async def test_client_connections_are_bounded_and_operations_still_answered():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial], sockets=64) as balancer:
+        server, kept = balancer.node.clients.server, []
+        for _ in range(100):
+            kept.append(await asyncio.open_connection("127.0.0.1", balancer.port))
+        assert (await balancer.ask())[0] == 200
+        assert len(server.connections) <= 64 * 5 // 8
+        half = balancer.message("/pay", b"POST", b"12345")[:-1]
+        for at in range(32):
+            kept.append(await asyncio.open_connection("127.0.0.1", balancer.port))
+            kept[-1][1].write(half)
+            while len(server.busy) <= at:
+                await asyncio.sleep(0.01)
+        assert (await balancer.ask())[0] == 503 and header(balancer.head, b"Connection") == b"close"
+        for _, writer in kept:
+            writer.close()
+        while server.busy:
+            await asyncio.sleep(0.01)
+        assert (await balancer.ask())[0] == 200 and len(peer.seen) == 2
+
+
+@loopback
+async def test_upstream_connections_are_bounded_and_one_too_many_never_ran():
+    async with Peer(lambda *_: None) as peer, Running([peer.dial], sockets=64) as balancer:
+        node, inbox = balancer.node, asyncio.Queue()
+        upstream = node.core.module.pick.ring[0]
+        for at in range(30):
+            operation = model.Operation(str(at), node.core.module.settings["grades"][0], None, None, 0)
+            node.upstreams.send(model.Dispatch(operation, upstream, 0), S // 2, Message("GET", "/", [], b""), inbox)
+        ends = [(await inbox.get())[2] for _ in range(30)]
+        assert ends.count(model.UNCONNECTED) == 30 - 64 // 3
+        assert ends.count(model.TIMED_OUT) == 64 // 3 == len(peer.seen)
+
+
+@loopback
+async def test_health_waits_for_the_list_and_the_watch_is_kept_up():
+    lists, failing = [], False
+
+    async def script(head, _):
+        lists.append(head.split()[1])
+        if failing:
+            return answer(503)
+        if b"since" not in lists[-1]:
+            return answer(body=b'{"seq":4,"whole":true,"hosts":' + json_hosts(peer.dial) + b"}")
+        await asyncio.sleep(0.01)
+        return answer(body=b'{"seq":5,"whole":false,"hosts":[]}')
+
+    env = dict(ENV, discovery="ask", safety={"askWithinUs": 800000})
+    async with Peer(lambda *_: answer()) as peer, Peer(script) as catalog, Running(
+            discovery=catalog.dial, env=env) as balancer:
+        assert (await balancer.ask("/_health"))[0] == 503
+        while not balancer.node.discovery.ready:
+            await asyncio.sleep(0.01)
+        assert (await balancer.ask("/_health"))[0] == 200 and (await balancer.ask())[0] == 200
+        while len(lists) < 5:
+            await asyncio.sleep(0.01)
+        assert lists[0] == b"/catalog/members" and lists[1].startswith(b"/catalog/members?since=4&timeout_ms=")
+        assert lists[3].startswith(b"/catalog/members?since=5&")
+        failing = True
+        while balancer.node.counters["list failed"] < 2:
+            await asyncio.sleep(0.01)
+        failing = False
+        while balancer.node.discovery.version != 5 or not balancer.node.core.module.discovery.watching:
+            await asyncio.sleep(0.01)
+        assert (await balancer.ask())[0] == 200
+
+
+def json_hosts(*dials):
+    return str(hosts(dials)).replace("'", '"').encode()
+
+
+@loopback
+async def test_lists_are_taken_whole_or_not_at_all():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        discovery = balancer.node.discovery
+        pick = balancer.node.core.module.pick
+        for broken in (None, [], {}, {"seq": 2}, {"seq": "2", "hosts": []}, {"seq": 2, "hosts": [7]},
+                       {"seq": 2, "whole": True, "hosts": hosts([peer.dial]) + hosts([peer.dial], health="odd")},
+                       {"seq": 2, "whole": True, "hosts": hosts([peer.dial], born_ms="x")}):
+            with pytest.raises(ValueError):
+                discovery.take(broken)
+        assert discovery.version == 1 and [u.address for u in pick.ring] == [b"h0"]
+        discovery.take({"seq": 2, "whole": False, "hosts": hosts([peer.dial, peer.dial])[1:]})
+        assert {u.address for u in pick.ring} == {b"h0", b"h1"}
+        discovery.take({"seq": 3, "whole": False, "hosts": hosts([peer.dial], health="draining")})
+        assert {u.address for u in pick.ring} == {b"h1"} and len(discovery.known) == 2
+        discovery.take({"seq": 4, "whole": False, "hosts": hosts([peer.dial], health="gone")})
+        assert set(discovery.known) == {"h1"} and len(balancer.node.upstreams.dials) == 1
+        discovery.take({"seq": 5, "whole": True, "hosts": hosts([peer.dial])})
+        assert set(discovery.known) == {"h0"} and (await balancer.ask())[0] == 200
+
+
+@loopback
+async def test_leaving_answers_what_was_taken_and_closes_connections_after_their_answers():
+    release = asyncio.Event()
+
+    async def script(*_):
+        await release.wait()
+        return answer()
+
+    async with Peer(script) as peer:
+        async with Running([peer.dial]) as balancer:
+            kept = await asyncio.open_connection("127.0.0.1", balancer.port)
+            under_way = [await balancer.send() for _ in range(2)]
+            while len(peer.seen) < 2:
+                await asyncio.sleep(0.01)
+            leaving = asyncio.ensure_future(balancer.node.clients.close(0.2, 30))
+            await asyncio.sleep(0)
+            under_way.append(await balancer.send())
+            assert await kept[0].read() == b"", "an idle connection is closed"
+            assert not leaving.done()
+            release.set()
+            for reader, writer in under_way:
+                assert (await balancer.answer(reader))[0] == 200
+                assert header(balancer.head, b"Connection") == b"close" and await reader.read() == b""
+                writer.close()
+            await leaving
+            with pytest.raises(OSError):
+                await asyncio.open_connection("127.0.0.1", balancer.port)
+
+
+@loopback
+async def test_a_fault_of_the_module_is_one_answer_and_the_balancer_goes_on():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        pick, sound = balancer.node.core.module.pick, balancer.node.core.module.pick.room
+
+        def faulty(*_):
+            raise ZeroDivisionError("made to fail")
+
+        pick.room = faulty
+        assert (await balancer.ask(X_Timeout_Ms="200"))[0] in (500, 503)
+        pick.room = sound
+        assert balancer.node.counters["faults of the module"] >= 1
+        assert (await balancer.ask())[0] == 200
+
+
+@loopback
+async def test_a_dispatch_that_nobody_makes_is_told_to_the_module_as_moot():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        core = balancer.node.core
+        operation = model.Operation("x", core.module.settings["grades"][0], None, None, core.now() + S)
+        core.tell(core.module.take, operation)      # no life was begun for it
+        while operation.dispatches[0].outcome is None:
+            await asyncio.sleep(0.01)
+        assert operation.dispatches[0].outcome == model.MOOT and not peer.seen
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,8 +1,15 @@
-"""A small world around one balancer: plays every outcome, checks the rules and ARB after every step."""
+"""A small world around one balancer: plays every outcome, checks the rules and ARB after every step; and scripted
+peers on loopback around a balancer on sockets."""
 
+import asyncio
+import logging
 import random
+from functools import wraps
 
 from pepperhook import model, policy
+from pepperhook import settings as settings_reader
+from pepperhook.net import config, log
+from pepperhook.net.node import Node
 
 MS, S = 10 ** 6, 10 ** 9
 FATES = [model.FULFILLED] * 30 + [model.ERROR, model.FULL, model.UNCONNECTED, model.RESET, model.TIMED_OUT]
@@ -136,3 +143,134 @@
             if self.random.random() < chance:
                 self.offer()
             self.step()
+
+
+class Peer:
+    """A scripted HTTP peer on loopback: ``script(head, body)`` gives the bytes to write, then the connection is
+    kept; None leaves the client waiting, and a tuple's bytes are written before the connection is closed."""
+
+    def __init__(self, script):
+        self.script, self.seen, self.connections, self.lost, self.writers = script, [], 0, 0, set()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.dial = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.add(writer)
+        try:
+            while True:
+                head, body = await read_message(reader)
+                self.seen.append((head, body))
+                said = self.script(head, body)
+                if asyncio.iscoroutine(said):
+                    said = await said
+                if said is None:
+                    await reader.read()
+                    break
+                writer.write(said[0] if isinstance(said, tuple) else said)
+                if isinstance(said, tuple):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.lost += 1
+            self.writers.discard(writer)
+            writer.close()
+
+
+async def read_message(reader):
+    """The head, as it came, and the body of one message."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")]
+    return head, await reader.readexactly(int(length[0].split(b":")[1])) if length else b""
+
+
+def answer(status=200, body=b"done", more=b""):
+    return b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s" % (status, more, len(body), body)
+
+
+def header(head, name):
+    found = [line for line in head.split(b"\r\n") if line.lower().startswith(name.lower() + b":")]
+    return found[0].split(b":", 1)[1].strip() if found else None
+
+
+ENV = {"discovery": "push", "azs": ["z"], "models": ["m"], "groupSize": 1, "orgs": [{"name": "acme"}],
+       "permissions": {"probes": True, "maxDispatches": 3, "connectTimeoutUs": 500000, "keepaliveUs": 9000000},
+       "serviceGrades": [
+           {"name": "look", "timeLimitUs": 2000000, "effect": "idempotent"},
+           {"name": "pay", "timeLimitUs": 2000000, "effect": "at_most_once"},
+           {"name": "hold", "timeLimitUs": 2000000, "effect": "deduplicated", "keyTtlUs": 1000000}]}
+
+
+def hosts(dials, **more):
+    return [{"host": f"h{at}", "dial": dial, "site": "z", "class": "m", "health": "ready", "born_ms": 0, **more}
+            for at, dial in enumerate(dials)]
+
+
+def told(known=None, discovery="127.0.0.1:9", env=ENV, sockets=256):
+    return config.Config("n", ("127.0.0.1", 0), config.address("discovery", discovery), 7, sockets, known,
+                         settings_reader.read(env), settings_reader.names(env))
+
+
+class Running:
+    """A balancer on loopback before scripted upstreams; what it leaves behind is checked at its end."""
+
+    def __init__(self, dials=(), **more):
+        self.known = {"seq": 1, "whole": True, "hosts": hosts(dials)} if dials else None
+        self.more = more
+
+    async def __aenter__(self):
+        self.node = Node(told(self.known, **self.more), log.Log(logging.getLogger("test")))
+        await self.node.start()
+        self.port = self.node.clients.listener.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, kind, *_):
+        await asyncio.wait_for(self.node.leave(accept_s=0), 30)
+        if kind is None:
+            node = self.node
+            assert not node.operations.tasks and not node.core.inboxes and not node.upstreams.tasks
+            assert not any(known.fileno() != -1 for known in node.upstreams.sockets)
+            assert not any(u.pending for u in node.core.module.pick.listed), "the books are right"
+            left = asyncio.all_tasks() - {asyncio.current_task()}
+            assert not [task for task in left if "pepperhook" in repr(task) or "aiohttp" in repr(task)]
+
+    async def ask(self, path="/look", method=b"GET", body=b"", **headers):
+        """The status and body of the answer to one message on a connection of its own."""
+        reader, writer = await self.send(path, method, body, **headers)
+        try:
+            return await self.answer(reader)
+        finally:
+            writer.close()
+
+    async def send(self, path="/look", method=b"GET", body=b"", **headers):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(self.message(path, method, body, **headers))
+        return reader, writer
+
+    def message(self, path="/look", method=b"GET", body=b"", **headers):
+        named = {"X-Request-ID": "%08x" % id(headers), "X-Timeout-Ms": "2000", "Host": "service.internal",
+                 "Content-Length": str(len(body)), **{k.replace("_", "-"): v for k, v in headers.items()}}
+        lines = b"".join(b"%s: %s\r\n" % (k.encode(), v.encode()) for k, v in named.items() if v is not None)
+        return method + b" " + path.encode() + b" HTTP/1.1\r\n" + lines + b"\r\n" + body
+
+    async def answer(self, reader):
+        head, body = await asyncio.wait_for(read_message(reader), 30)
+        self.head = head
+        return int(head.split()[1]), body
+
+
+def loopback(test):
+    """Runs a test that is a coroutine; a hang fails it."""
+    @wraps(test)
+    def run(*args, **named):
+        asyncio.run(asyncio.wait_for(test(*args, **named), 60))
+    return run
