Module: an operation whose time is up at the gate leaves its queue at once

Seen in a loopback test: a client waiting 0 ms was shed, and the next operation was shed too with the only upstream idle. Answers.due ended the first by Answers.end, which left it at the head of Gate.queue; Gate.release tries only the head, which Sender.may turns down as over, so all behind it waited until Gate.drop, up to a fifth of the goal time. Ruled out: the upstream's room (nothing was out) and the host (the module's queue held it). Answers.end now has the gate let it go.

--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -54,6 +54,7 @@
         if operation.over:
             return
         operation.over = True
+        self.core.gate.leave(operation)     # else one whose time was up kept all behind it waiting
         grade = operation.grade
         if grade["effect"] == RETRIABLE or not any(d.may_have_run for d in operation.dispatches) or (
                 grade["effect"] == FINGERPRINTED and grade["group"] == "all"):
@@ -120,7 +121,6 @@
 
     def drop(self, now, operation):
         if operation.waiting:
-            self.leave(operation)
             self.core.answers.end(now, operation)
 
     def release(self, now):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -209,3 +209,14 @@
     world.balancer.agenda.clear()
     world.now, before = world.now + 11 * S, len(world.sends)
     assert world.offer(0).dispatches == [] and len(world.sends) == before
+
+
+def test_one_whose_time_is_up_at_the_gate_keeps_nobody_behind_it_waiting():
+    world = World(18)
+    world.span = lambda dispatch: S
+    while not world.balancer.gate.queue:
+        waiting = world.offer(0, limit=60 * MS)
+    # Its time is up well before the longest wait at the gate, and nothing is sent for it.
+    for _ in range(30):
+        world.step()
+    assert world.answered[waiting] == "shed" and waiting not in world.balancer.gate.queue
