Module: silence of the list counts from the end of a watch, not from its beginning

Read in Discovery.silent: 'asked' was set when a watch began and never again, so when discovery went down after a watch of more than ask_within, the balancer counted as silent at once and sent nothing until it asked again, 0.3 to 2.8 s later with ask_within at 10 s. Silence that does last still stops all sending (test kept).

--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -427,7 +427,7 @@
 
     def failed(self, now):
         if self.asks:
-            self.watching = False
+            self.watching, self.asked = False, now      # else the end of a long watch stopped all sending
             self.core.later(now + int(self.within * (0.03 + 0.25 * self.core.chance())), self.ask, None)
 
     def silent(self, now):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -220,3 +220,10 @@
     for _ in range(30):
         world.step()
     assert world.answered[waiting] == "shed" and waiting not in world.balancer.gate.queue
+
+
+def test_the_end_of_a_long_watch_does_not_stop_all_sending():
+    world = World(19, asks=True, ask_within_ns=10 * S)
+    world.run(20000, chance=0.01)
+    world.play(world.balancer.listing_failed(world.now))
+    assert world.offer(0).dispatches
