--- a/pepperhook/net/config.py
+++ b/pepperhook/net/config.py
@@ -41,12 +41,14 @@
         env = told.get("settings")
         if env is None:
             raise Faulty("settings: is missing" + ("" if path else "; LB_CONFIG names no file"))
+        # On sockets the list is always asked for, also where the simulator would bring news unasked.
+        decided = dict(settings.read(env), asks=True)
         return Config(
             name=str(environ.get("LB_NAME") or told.get("name") or "balancer"),
             listen=address("listen", environ.get("LB_LISTEN") or told.get("listen")),
             discovery=address("discovery", environ.get("LB_DISCOVERY") or told.get("discovery")),
             seed=seed(told.get("seed", "0")), sockets=sockets(told.get("limits")),
-            known=known(told.get("known")), settings=settings.read(env), names=settings.names(env))
+            known=known(told.get("known")), settings=decided, names=settings.names(env))
     except model.Missing as problem:
         raise Faulty(str(problem)) from None
 
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,136 @@
+"""The program as operators start it, its configuration and its log."""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from pepperhook import model, settings
+from pepperhook.net import config, log
+from pepperhook.net.counters import Counters
+from tests.world import ENV, Peer, Running, answer, header, hosts, loopback
+
+
+def write(path, **told):
+    path = path / "config.json"
+    path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:9", "seed": "ff",
+                                "settings": ENV, **told}))
+    return {"LB_CONFIG": str(path)}
+
+
+def test_defaults_and_what_the_environment_says_first(tmp_path):
+    told = config.read({**write(tmp_path, limits={"sockets": 100}), "LB_LISTEN": "[::1]:77", "LB_NAME": "n3"})
+    assert (told.name, told.listen, told.discovery) == ("n3", ("::1", 77), ("127.0.0.1", 9))
+    assert (told.seed, told.sockets, told.known) == (255, 100, None)
+    assert told.settings["asks"] and told.settings["connect_limit_ns"] == 500 * 10 ** 6
+    grades = told.settings["grades"]
+    assert [g["effect"] for g in grades] == [model.RETRIABLE, model.BINDING, model.FINGERPRINTED]
+    assert grades[0]["goal_ns"] == grades[0]["limit_ns"] == 2 * 10 ** 9 and grades[0]["earnings"] == 1.0
+    assert told.names == {"grades": {"look": 0, "pay": 1, "hold": 2}, "customers": {"acme": 0}, "zones": {"z": 0},
+                          "kinds": {"m": 0}}
+
+
+FAULTS = [
+    ("listen", {"listen": "here"}), ("listen", {"listen": "127.0.0.1:x"}), ("discovery", {"discovery": None}),
+    ("seed", {"seed": "xyz"}), ("limits", {"limits": 3}), ("limits.sockets", {"limits": {"sockets": 3}}),
+    ("known", {"known": []}), ("settings", {"settings": None}), ("settings", {"settings": [1]}),
+    ("serviceGrades", {"settings": dict(ENV, serviceGrades=[])}),
+    ("serviceGrades[0].timeLimitUs", {"settings": dict(ENV, serviceGrades=[{"name": "a"}])}),
+    ("serviceGrades[0].effect", {"settings": dict(ENV, serviceGrades=[{"name": "a", "timeLimitUs": 1}])}),
+    ("serviceGrades[0].name", {"settings": dict(ENV, serviceGrades=[dict(ENV["serviceGrades"][0], name=5)])}),
+    ("serviceGrades[0].group", {"settings": dict(ENV, serviceGrades=[dict(ENV["serviceGrades"][0], group=5)])}),
+    ("orgs", {"settings": dict(ENV, orgs={"acme": 1})}),
+    ("orgs[0].quotaPerS", {"settings": dict(ENV, orgs=[{"name": "a", "quotaPerS": "7"}])}),
+    ("azs[1]", {"settings": dict(ENV, azs=["z", ""])}),
+    ("permissions.probes", {"settings": dict(ENV, permissions={"probes": "yes"})}),
+    ("permissions.cancel", {"settings": dict(ENV, permissions=[])}),
+    ("safety.warmWithinUs", {"settings": dict(ENV, safety={"warmWithinUs": -1})}),
+    ("groupSize", {"settings": dict(ENV, groupSize=True)}), ("me", {"settings": dict(ENV, me=[])})]
+
+
+@pytest.mark.parametrize("key, told", FAULTS)
+def test_what_is_wrong_is_named_by_its_key(tmp_path, key, told):
+    with pytest.raises(config.Faulty) as problem:
+        config.read(write(tmp_path, **told))
+    assert f"{key}:" in str(problem.value) and "\n" not in str(problem.value)
+
+
+def test_both_hosts_read_the_same_map(tmp_path):
+    assert config.read(write(tmp_path)).settings == {**settings.read(ENV), "asks": True}
+
+
+def start(environ):
+    kept = {name: os.environ[name] for name in ("PATH", "PYTHONPATH") if name in os.environ}
+    return subprocess.Popen([sys.executable, "-B", "-m", "pepperhook"], env={**kept, **environ}, text=True,
+                            stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
+
+def test_bad_configuration_is_one_line_and_exit_2(tmp_path):
+    (tmp_path / "broken.json").write_text("{")
+    for environ in {}, {"LB_CONFIG": str(tmp_path / "none.json")}, {"LB_CONFIG": str(tmp_path / "broken.json")}:
+        process = start(environ)
+        out, err = process.communicate(timeout=60)
+        assert process.returncode == 2 and not out and len(err.splitlines()) == 1
+        assert err.startswith("pepperhook: configuration: ")
+
+
+@loopback
+async def test_the_program_serves_counts_and_ends_cleanly_when_told_to(tmp_path):
+    release = asyncio.Event()
+
+    async def script(*_):
+        await release.wait()
+        return answer()
+
+    async with Peer(script) as peer:
+        with socket.socket() as held:
+            held.bind(("127.0.0.1", 0))
+            port = held.getsockname()[1]
+        balancer = Running()
+        balancer.port = port
+        process = start({**write(tmp_path, known={"seq": 1, "whole": True, "hosts": hosts([peer.dial])}),
+                         "LB_LISTEN": f"127.0.0.1:{port}"})
+        lines = [process.stderr.readline(), process.stderr.readline()]
+        assert "event=list_known" in lines[0] and f"event=started name=balancer listen=127.0.0.1:{port}" in lines[1]
+        assert (await balancer.ask("/_health"))[0] == 200
+        under_way = [await balancer.send()]
+        while not peer.seen:
+            await asyncio.sleep(0.01)
+        process.send_signal(signal.SIGUSR1)
+        while "event=counters dispatched=1 " not in process.stderr.readline():
+            pass
+        process.send_signal(signal.SIGTERM)
+        while "event=leaving" not in process.stderr.readline():
+            pass
+        under_way.append(await balancer.send())     # connections still come for a moment
+        release.set()
+        for reader, writer in under_way:
+            assert (await balancer.answer(reader))[0] == 200 and header(balancer.head, b"Connection") == b"close"
+            writer.close()
+        out, err = await asyncio.to_thread(process.communicate, timeout=60)
+        assert process.returncode == 0 and not out
+        assert "answered_fulfilled=2" in err and err.splitlines()[-1].endswith("event=ended")
+        assert "level=error" not in err
+
+
+def test_a_log_line_is_one_line_of_pairs(caplog):
+    made = log.Log(logging.getLogger("test"))
+    with caplog.at_level(logging.INFO):
+        made.info("odd", name="a b", text='say "x"\n=', empty="", count=3)
+        try:
+            raise ValueError("two\nlines")
+        except ValueError:
+            made.exception("fault", call="take")
+        counters = Counters(made)
+        counters.add("dispatches timed out")
+        counters.show()
+    lines = [log.KeyValue().format(record) for record in caplog.records]
+    assert lines[0].endswith('Z level=info event=odd name="a b" text="say \\"x\\"\\n=" empty="" count=3')
+    assert 'level=error event=fault call=take error="ValueError: two\\nlines" at=' in lines[1]
+    assert lines[2].endswith("event=counters dispatches_timed_out=1") and not any("\n" in line for line in lines)
