--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -1,6 +1,7 @@
 """Clients: takes their operations in, decodes what decisions need, and writes the one final answer."""
 
 import asyncio
+import socket
 from contextlib import suppress
 
 from aiohttp import web
@@ -12,7 +13,11 @@
 IDLE_S = 75             # a kept connection may stand idle this long
 LINGER_S = 1            # how long the rest of a message that was answered early is still read
 MARGIN_NS = 25 * 10 ** 6    # of a time limit: for the way from and to the client, and for a busy core
-FRESH_S = 1             # a connection just made is spared this long
+FRESH_S = 0.1           # a connection just made or used is not closed to make room
+BACKLOG, ACCEPTS = 1024, 16     # what the machine holds for this program, and what it takes in at once
+PAUSE_S = 0.02          # between looks for room for new connections
+CROWDED = 0.9           # share of the bound that may be at work; what is beyond gets its answer at once
+LATE = 3                # times that lateness meets a message: accepting, reading, and writing the answer
 PART_S = 0.1            # for what is still open when the time to leave is up
 
 
@@ -25,22 +30,64 @@
 
 
 class Connections(web.Server):
-    """Clients' connections, bounded: over the bound those that stand idle longest are closed first."""
+    """Clients' connections, bounded: at the bound the one that stands idle longest makes room for a new one, and
+    while none does the new ones wait. So descriptors never run out, which would stop all accepting for a second."""
 
     def __init__(self, handler, most, **rest):
         super().__init__(handler, **rest)
-        self.most, self.idle, self.busy = most, {}, set()
+        self.loop = asyncio.get_running_loop()
+        self.most, self.idle, self.busy, self.arriving = most, {}, set(), set()
+        self.listener, self.pause = None, None
+
+    def listen(self, address):
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.listener = socket.create_server(address, family=family, backlog=BACKLOG)
+        self.listener.setblocking(False)
+        self.loop.add_reader(self.listener, self.accept)
+        return self.listener.getsockname()[:2]
+
+    def accept(self):
+        for _ in range(ACCEPTS):
+            if not self.room():
+                self.loop.remove_reader(self.listener)
+                self.pause = self.loop.call_later(PAUSE_S, self.resume)
+                return
+            try:
+                made, _ = self.listener.accept()
+            except OSError:
+                return
+            made.setblocking(False)
+            task = self.loop.create_task(self.loop.connect_accepted_socket(self, made))
+            self.arriving.add(task)
+            task.add_done_callback(self.arriving.discard)
+
+    def resume(self):
+        self.pause = None
+        self.loop.add_reader(self.listener, self.accept)
+
+    def room(self):
+        if len(self.idle) + len(self.busy) + len(self.arriving) < self.most:
+            return True
+        for oldest, since in self.idle.items():
+            # One just used, or just made, is spared: its next message may be on its way.
+            if self.loop.time() - since > FRESH_S:
+                self.part(oldest)
+                return True
+            break
+        return False
+
+    def stop(self):
+        """Takes in no new connections any more."""
+        if self.pause is not None:
+            self.pause.cancel()
+        if self.listener is not None:
+            self.loop.remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
 
     def connection_made(self, handler, transport):
         super().connection_made(handler, transport)
-        now = asyncio.get_running_loop().time()
-        self.idle[handler] = now
-        while len(self.idle) > 1 and len(self.idle) + len(self.busy) > self.most:
-            oldest, since = next(iter(self.idle.items()))
-            # Against closing, in a rush of new ones, those whose first message is on its way.
-            if now - since < FRESH_S and len(self.idle) + len(self.busy) <= self.most * 5 // 4:
-                break
-            self.part(oldest)
+        self.idle[handler] = self.loop.time()
 
     def connection_lost(self, handler, exc=None):
         self.idle.pop(handler, None)
@@ -58,11 +105,11 @@
     def done(self, handler):
         if handler in self.busy:
             self.busy.discard(handler)
-            self.idle[handler] = asyncio.get_running_loop().time()
+            self.idle[handler] = self.loop.time()
 
     @property
     def crowded(self):
-        return len(self.busy) > self.most
+        return len(self.busy) > CROWDED * self.most
 
 
 class Clients:
@@ -72,7 +119,7 @@
         self.grades, self.customers = config.names["grades"], config.names["customers"]
         self.settings, self.listen = config.settings, config.listen
         self.longest_s = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
-        self.leaving, self.listener = False, None
+        self.leaving, self.address = False, None
         self.server = Connections(self.serve, config.sockets // 2, request_factory=self.received,
                                   handler_cancellation=True, access_log=None, keepalive_timeout=IDLE_S,
                                   lingering_time=LINGER_S, auto_decompress=False)
@@ -81,9 +128,8 @@
         return web.BaseRequest(message, payload, protocol, writer, task, self.core.loop,
                                client_max_size=http.MOST_BODY)
 
-    async def open(self):
-        host, port = self.listen
-        self.listener = await self.core.loop.create_server(self.server, host, port, backlog=1024)
+    def open(self):
+        self.address = self.server.listen(self.listen)
 
     async def serve(self, request):
         connection = request.protocol
@@ -157,8 +203,9 @@
             raise Refused(400, "Idempotency-Key is wanted for this service grade")
         limit = whole(headers, "X-Timeout-Ms")
         limit = grade["limit_ns"] if limit is None else min(grade["limit_ns"], limit * 10 ** 6)
-        # Counted from the sending, which nobody tells: the way of the message is in the margin.
-        not_after = self.core.now() + max(limit // 2, limit - MARGIN_NS)
+        # Counted from the sending, which nobody tells: the message's way is in the margin, and a core that is late
+        # may have let it lie for as long, and will let the answer lie too.
+        not_after = self.core.now() + max(0, limit - min(limit // 2, MARGIN_NS) - LATE * self.core.late())
         cost = whole(headers, "X-Cost")
         customer = self.customers.get(headers.get("X-Tenant-Id"))
         return model.Operation(identity, grade, customer, None, not_after, cost * 1000 if cost else None,
@@ -183,7 +230,7 @@
         """Goes on accepting briefly, answers all that was taken, closes connections after their answers."""
         self.leaving = True
         await asyncio.sleep(accept_s)
-        self.listener.close()
+        self.server.stop()
         for connection in list(self.server.idle):
             self.server.part(connection)
         ends = self.core.loop.time() + within_s
--- a/pepperhook/net/core.py
+++ b/pepperhook/net/core.py
@@ -5,6 +5,9 @@
 
 from pepperhook import model
 
+BEAT_S = 0.025              # between looks at how late the event loop is
+LATE_SPAN = 500 * 10 ** 6   # in which what it was late at the worst counts half
+
 
 class Core:
     """Calls the module, and hands each result to whom it belongs; keeps the module's wake-ups."""
@@ -16,6 +19,7 @@
         self.module = self.upstreams = self.discovery = None
         self.inboxes = {}       # of each operation under way, by itself
         self.alarm, self.alarm_at = None, None
+        self.beat, self.worst = None, (0, 0)
 
     def now(self):
         return time.monotonic_ns() + self.offset
@@ -23,6 +27,19 @@
     def start(self, module, upstreams, discovery):
         self.module, self.upstreams, self.discovery = module, upstreams, discovery
         self.tell(module.wake)
+        self.beat = self.loop.call_later(BEAT_S, self.heartbeat, self.now())
+
+    def heartbeat(self, before):
+        now = self.now()
+        late = now - before - int(BEAT_S * 1e9)
+        if late > self.late():
+            self.worst = late, now
+        self.beat = self.loop.call_later(BEAT_S, self.heartbeat, now)
+
+    def late(self):
+        """How late this program has lately come to do things, in nanoseconds: the worst, fading."""
+        worst, at = self.worst
+        return int(worst * 0.5 ** ((self.now() - at) / LATE_SPAN))
 
     def tell(self, call, *about):
         """Makes one call to the module and carries out its results, in their order."""
@@ -71,6 +88,6 @@
         self.tell(self.module.wake)
 
     def close(self):
-        if self.alarm is not None:
-            self.alarm.cancel()
-            self.alarm = None
+        for timer in self.alarm, self.beat:
+            if timer is not None:
+                timer.cancel()
--- a/pepperhook/net/http.py
+++ b/pepperhook/net/http.py
@@ -14,6 +14,10 @@
     """The connection was gone before anything was written."""
 
 
+class Bound(OSError):
+    """No connection was tried, as this program's own are at their bound."""
+
+
 class Oversized(Exception):
     """An answer with more than 64 KiB of body."""
 
--- a/pepperhook/net/node.py
+++ b/pepperhook/net/node.py
@@ -16,8 +16,8 @@
     def __init__(self, told, log):
         self.told, self.log, self.counters = told, log, Counters(log)
         self.core = Core(log, self.counters)
-        # A third of the descriptors for upstreams, half for clients; the rest is spare.
-        self.upstreams = Upstreams(self.core, log, self.counters, told.settings, told.sockets // 3)
+        # Two fifths of the descriptors are for upstreams, half for clients; the rest is spare.
+        self.upstreams = Upstreams(self.core, log, self.counters, told.settings, told.sockets * 2 // 5)
         self.discovery = Discovery(self.core, log, self.counters, told, self.upstreams)
         self.operations = Operations(self.core, log, self.counters)
         self.clients = Clients(self.core, log, self.counters, told, self.operations, self.discovery)
@@ -30,7 +30,7 @@
                 self.discovery.take(self.told.known)
             except ValueError as problem:
                 self.log.warning("known_list_unusable", error=problem)
-        await self.clients.open()
+        self.clients.open()
         self.log.info("started", name=self.told.name, listen="{}:{}".format(*self.told.listen),
                       tier=self.told.settings.get("tier", 0))
 
--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -47,7 +47,7 @@
         open_now = [known for known in self.sockets if known.fileno() != -1]
         if len(open_now) >= self.most_sockets:
             self.counters.add("connections over the bound")
-            raise OSError(EMFILE, "connections to upstreams are at their bound")
+            raise http.Bound(EMFILE, "connections to upstreams are at their bound")
         made = socket.socket(*address[:3])
         self.sockets.add(made)
         return made
@@ -86,8 +86,10 @@
                     return model.FULFILLED, Received(body, response.headers.get("Content-Type"))
                 never_ran = response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1"
                 return (model.FULL if never_ran else model.ERROR), None
-        except http.UNSENT:
-            return model.UNCONNECTED, None
+        except http.UNSENT as problem:
+            # Against taking an upstream for dead where it is this program that has no socket left.
+            own = isinstance(problem.__cause__, http.Bound) or isinstance(problem.__context__, http.Bound)
+            return (model.MOOT if own else model.UNCONNECTED), None
         except TimeoutError:
             return model.TIMED_OUT, None
         except http.BROKEN:
