--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -1,6 +1,7 @@
 """Clients: takes their operations in, decodes what decisions need, and writes the one final answer."""
 
 import asyncio
+import select
 import socket
 from contextlib import suppress
 
@@ -29,16 +30,39 @@
         self.status = status
 
 
+class Connection(web.RequestHandler):
+    """One connection; tells when something came, as its handling begins only a turn of the event loop later."""
+
+    def __init__(self, connections, **rest):
+        super().__init__(connections, **rest)
+        self.connections = connections
+
+    def data_received(self, data):
+        self.connections.touched(self)
+        super().data_received(data)
+
+    def unread(self):
+        """Whether something has come that was not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
 class Connections(web.Server):
     """Clients' connections, bounded: at the bound the one that stands idle longest makes room for a new one, and
     while none does the new ones wait. So descriptors never run out, which would stop all accepting for a second."""
 
-    def __init__(self, handler, most, **rest):
-        super().__init__(handler, **rest)
-        self.loop = asyncio.get_running_loop()
+    def __init__(self, handler, most, request_factory, **rest):
+        super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
+        self.loop, self.rest = asyncio.get_running_loop(), rest
         self.most, self.idle, self.busy, self.arriving = most, {}, set(), set()
         self.listener, self.pause = None, None
 
+    def __call__(self):
+        return Connection(self, loop=self.loop, **self.rest)
+
     def listen(self, address):
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.listener = socket.create_server(address, family=family, backlog=BACKLOG)
@@ -65,17 +89,6 @@
         self.pause = None
         self.loop.add_reader(self.listener, self.accept)
 
-    def room(self):
-        if len(self.idle) + len(self.busy) + len(self.arriving) < self.most:
-            return True
-        for oldest, since in self.idle.items():
-            # One just used, or just made, is spared: its next message may be on its way.
-            if self.loop.time() - since > FRESH_S:
-                self.part(oldest)
-                return True
-            break
-        return False
-
     def stop(self):
         """Takes in no new connections any more."""
         if self.pause is not None:
@@ -85,6 +98,26 @@
             self.listener.close()
             self.listener = None
 
+    def room(self):
+        """Whether there is room for one more, made if need be."""
+        if len(self.idle) + len(self.busy) + len(self.arriving) < self.most:
+            return True
+        for oldest, since in list(self.idle.items()):
+            # One just used, or just made, is spared: its next message may be on its way.
+            if self.loop.time() - since <= FRESH_S:
+                return False
+            if self.part(oldest):
+                return True
+        return False
+
+    def part(self, handler):
+        """Closes an idle one, unless that would lose what has come on it."""
+        if handler.unread():
+            return False
+        del self.idle[handler]
+        handler.force_close()
+        return True
+
     def connection_made(self, handler, transport):
         super().connection_made(handler, transport)
         self.idle[handler] = self.loop.time()
@@ -94,9 +127,11 @@
         self.busy.discard(handler)
         super().connection_lost(handler, exc)
 
-    def part(self, handler):
-        self.idle.pop(handler, None)
-        handler.force_close()
+    def touched(self, handler):
+        if handler in self.idle:
+            # To the end, as the one used last.
+            del self.idle[handler]
+            self.idle[handler] = self.loop.time()
 
     def begun(self, handler):
         self.idle.pop(handler, None)
@@ -120,9 +155,8 @@
         self.settings, self.listen = config.settings, config.listen
         self.longest_s = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
         self.leaving, self.address = False, None
-        self.server = Connections(self.serve, config.sockets // 2, request_factory=self.received,
-                                  handler_cancellation=True, access_log=None, keepalive_timeout=IDLE_S,
-                                  lingering_time=LINGER_S, auto_decompress=False)
+        self.server = Connections(self.serve, config.sockets // 2, self.received, access_log=None,
+                                  keepalive_timeout=IDLE_S, lingering_time=LINGER_S, auto_decompress=False)
 
     def received(self, message, payload, protocol, writer, task):
         return web.BaseRequest(message, payload, protocol, writer, task, self.core.loop,
@@ -231,10 +265,12 @@
         self.leaving = True
         await asyncio.sleep(accept_s)
         self.server.stop()
-        for connection in list(self.server.idle):
-            self.server.part(connection)
         ends = self.core.loop.time() + within_s
-        while self.server.busy and self.core.loop.time() < ends:
+        while (self.server.busy or self.server.idle) and self.core.loop.time() < ends:
+            for connection, since in list(self.server.idle.items()):
+                # What has come on it is answered first, and closes it by that.
+                if self.core.loop.time() - since > FRESH_S:
+                    self.server.part(connection)
             await asyncio.sleep(0.01)
         # Half a message, or a client that does not read its answer, is not waited for any longer.
         await self.server.shutdown(PART_S)
