--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -4,6 +4,7 @@
 import select
 import socket
 from contextlib import suppress
+from functools import partial
 
 from aiohttp import web
 
@@ -33,9 +34,9 @@
 class Connection(web.RequestHandler):
     """One connection; tells when something came, as its handling begins only a turn of the event loop later."""
 
-    def __init__(self, connections, **rest):
+    def __init__(self, connections, waited_s, **rest):
         super().__init__(connections, **rest)
-        self.connections = connections
+        self.connections, self.waited_s = connections, waited_s
 
     def data_received(self, data):
         self.connections.touched(self)
@@ -51,17 +52,15 @@
 
 
 class Connections(web.Server):
-    """Clients' connections, bounded: at the bound the one that stands idle longest makes room for a new one, and
-    while none does the new ones wait. So descriptors never run out, which would stop all accepting for a second."""
+    """Clients' connections, bounded. Over ``most`` those that stand idle longest make room and every answer closes
+    its connection; at ``hard`` new ones wait. So descriptors never run out, which would stop all accepting for a
+    second at a time."""
 
-    def __init__(self, handler, most, request_factory, **rest):
+    def __init__(self, handler, most, hard, request_factory, **rest):
         super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
         self.loop, self.rest = asyncio.get_running_loop(), rest
-        self.most, self.idle, self.busy, self.arriving = most, {}, set(), set()
-        self.listener, self.pause = None, None
-
-    def __call__(self):
-        return Connection(self, loop=self.loop, **self.rest)
+        self.most, self.hard, self.idle, self.busy, self.arriving = most, hard, {}, set(), set()
+        self.listener, self.pause, self.full_since = None, None, None
 
     def listen(self, address):
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -71,17 +70,22 @@
         return self.listener.getsockname()[:2]
 
     def accept(self):
+        now = self.loop.time()
         for _ in range(ACCEPTS):
             if not self.room():
+                self.full_since = now if self.full_since is None else self.full_since
                 self.loop.remove_reader(self.listener)
                 self.pause = self.loop.call_later(PAUSE_S, self.resume)
                 return
             try:
                 made, _ = self.listener.accept()
             except OSError:
+                self.full_since = None
                 return
             made.setblocking(False)
-            task = self.loop.create_task(self.loop.connect_accepted_socket(self, made))
+            waited_s = 0 if self.full_since is None else now - self.full_since
+            connect = partial(Connection, self, waited_s, loop=self.loop, **self.rest)
+            task = self.loop.create_task(self.loop.connect_accepted_socket(connect, made))
             self.arriving.add(task)
             task.add_done_callback(self.arriving.discard)
 
@@ -100,15 +104,12 @@
 
     def room(self):
         """Whether there is room for one more, made if need be."""
-        if len(self.idle) + len(self.busy) + len(self.arriving) < self.most:
-            return True
-        for oldest, since in list(self.idle.items()):
-            # One just used, or just made, is spared: its next message may be on its way.
-            if self.loop.time() - since <= FRESH_S:
-                return False
-            if self.part(oldest):
-                return True
-        return False
+        if self.full:
+            for oldest, since in list(self.idle.items()):
+                # One just used, or just made, is spared: its next message may be on its way.
+                if self.loop.time() - since <= FRESH_S or self.part(oldest):
+                    break
+        return self.count < self.hard
 
     def part(self, handler):
         """Closes an idle one, unless that would lose what has come on it."""
@@ -142,20 +143,29 @@
             self.busy.discard(handler)
             self.idle[handler] = self.loop.time()
 
+    @property
+    def count(self):
+        return len(self.idle) + len(self.busy) + len(self.arriving)
+
+    @property
+    def full(self):
+        return self.count >= self.most
+
     @property
     def crowded(self):
         return len(self.busy) > CROWDED * self.most
 
 
 class Clients:
-    def __init__(self, core, log, counters, config, operations, discovery):
+    def __init__(self, core, log, counters, config, operations, discovery, bounds):
         self.core, self.log, self.counters = core, log, counters
         self.operations, self.discovery = operations, discovery
         self.grades, self.customers = config.names["grades"], config.names["customers"]
         self.settings, self.listen = config.settings, config.listen
         self.longest_s = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
         self.leaving, self.address = False, None
-        self.server = Connections(self.serve, config.sockets // 2, self.received, access_log=None,
+        most, hard = bounds
+        self.server = Connections(self.serve, most, hard, self.received, access_log=None,
                                   keepalive_timeout=IDLE_S, lingering_time=LINGER_S, auto_decompress=False)
 
     def received(self, message, payload, protocol, writer, task):
@@ -170,7 +180,7 @@
         self.server.begun(connection)
         try:
             response = await self.handle(request)
-            if self.leaving or self.server.crowded:
+            if self.leaving or self.server.full:
                 response.force_close()
             # Written here, so that no connection counts as idle before its answer is out.
             with suppress(ConnectionError):
@@ -237,9 +247,11 @@
             raise Refused(400, "Idempotency-Key is wanted for this service grade")
         limit = whole(headers, "X-Timeout-Ms")
         limit = grade["limit_ns"] if limit is None else min(grade["limit_ns"], limit * 10 ** 6)
-        # Counted from the sending, which nobody tells: the message's way is in the margin, and a core that is late
-        # may have let it lie for as long, and will let the answer lie too.
-        not_after = self.core.now() + max(0, limit - min(limit // 2, MARGIN_NS) - LATE * self.core.late())
+        # Counted from the sending, which nobody tells: the message's way is in the margin; a core that is late
+        # may have let it lie for as long, and will let the answer lie too; a first one may have waited for room.
+        lost, request.protocol.waited_s = int(request.protocol.waited_s * 1e9), 0
+        lost += min(limit // 2, MARGIN_NS) + LATE * self.core.late()
+        not_after = self.core.now() + max(0, limit - lost)
         cost = whole(headers, "X-Cost")
         customer = self.customers.get(headers.get("X-Tenant-Id"))
         return model.Operation(identity, grade, customer, None, not_after, cost * 1000 if cost else None,
--- a/pepperhook/net/node.py
+++ b/pepperhook/net/node.py
@@ -9,6 +9,7 @@
 from pepperhook.net.upstreams import Upstreams
 
 ACCEPT_S = 0.5      # once told to leave, connections still come for a moment
+SPARE = 24          # descriptors for the list, the log and the program's own
 LEAVE_S = 0.3       # beyond the longest time limit, for the last answers to be written
 
 
@@ -16,11 +17,13 @@
     def __init__(self, told, log):
         self.told, self.log, self.counters = told, log, Counters(log)
         self.core = Core(log, self.counters)
-        # Two fifths of the descriptors are for upstreams, half for clients; the rest is spare.
-        self.upstreams = Upstreams(self.core, log, self.counters, told.settings, told.sockets * 2 // 5)
+        # Two fifths of the descriptors are for upstreams, the rest for clients, of which a sixth only in a rush.
+        usable = told.sockets - SPARE
+        self.upstreams = Upstreams(self.core, log, self.counters, told.settings, usable * 2 // 5)
         self.discovery = Discovery(self.core, log, self.counters, told, self.upstreams)
         self.operations = Operations(self.core, log, self.counters)
-        self.clients = Clients(self.core, log, self.counters, told, self.operations, self.discovery)
+        self.clients = Clients(self.core, log, self.counters, told, self.operations, self.discovery,
+                               (usable // 2, usable * 3 // 5))
 
     async def start(self):
         module = policy.Balancer(self.told.settings, self.told.seed, self.core.now())
