--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -13,6 +13,7 @@
 
 FORWARDED = ("X-Request-ID", "Idempotency-Key", "Content-Type")
 NOT_PROCESSED = "X-Not-Processed"
+LATE = 1.5              # times the limit for connecting that its end may take to be noticed
 PROBE_CONNECTS = 4      # a probe may take as many times the limit for connecting
 
 
@@ -72,9 +73,10 @@
 
     async def carry(self, dispatch, for_ns, message):
         """The outcome and what was received; whatever is not surely unsent may have run."""
-        dial = self.dials.get(dispatch.upstream)
-        if dial is None:
-            return model.UNCONNECTED, None      # gone from the list since it was chosen
+        dial, begun = self.dials.get(dispatch.upstream), self.core.now()
+        for_ns += dispatch.sent - begun
+        if dial is None or dispatch.upstream.state != model.READY or for_ns <= 0:
+            return model.MOOT, None     # told since it was chosen, or this program was late
         headers = message.headers + [("X-Timeout-Ms", str(max(1, for_ns // 10 ** 6)))]
         try:
             async with self.session.request(
@@ -87,8 +89,9 @@
                 never_ran = response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1"
                 return (model.FULL if never_ran else model.ERROR), None
         except http.UNSENT as problem:
-            # Against taking an upstream for dead where it is this program that has no socket left.
-            own = isinstance(problem.__cause__, http.Bound) or isinstance(problem.__context__, http.Bound)
+            # Against taking an upstream for dead where it is this program that has no socket left or stood still.
+            own = isinstance(problem.__cause__, http.Bound) or (
+                isinstance(problem, TimeoutError) and self.core.now() - begun > LATE * self.connect_s * 1e9)
             return (model.MOOT if own else model.UNCONNECTED), None
         except TimeoutError:
             return model.TIMED_OUT, None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,7 +8,7 @@
 from pepperhook import model
 from pepperhook.net import http
 from pepperhook.net.upstreams import Message
-from tests.world import ENV, S, Peer, Running, answer, header, hosts, loopback
+from tests.world import ENV, MS, S, Peer, Running, answer, header, hosts, loopback
 
 
 @loopback
@@ -200,7 +200,8 @@
         upstream = node.core.module.pick.ring[0]
         for at in range(30):
             operation = model.Operation(str(at), node.core.module.settings["grades"][0], None, None, 0)
-            node.upstreams.send(model.Dispatch(operation, upstream, 0), S // 2, Message("GET", "/", [], b""), inbox)
+            dispatch = model.Dispatch(operation, upstream, node.core.now())
+            node.upstreams.send(dispatch, S // 2, Message("GET", "/", [], b""), inbox)
         ends = [(await inbox.get())[2] for _ in range(30)]
         # Moot, not unconnected: that would say of the upstream what is true of this program alone.
         assert ends.count(model.MOOT) == 30 - 16
@@ -318,3 +319,28 @@
         while operation.dispatches[0].outcome is None:
             await asyncio.sleep(0.01)
         assert operation.dispatches[0].outcome == model.MOOT and not peer.seen
+
+
+@pytest.mark.parametrize("change", [{"state": model.DRAINING}, {"state": model.GONE}, {"sent": -S}])
+@loopback
+async def test_nothing_is_sent_that_news_or_lateness_has_overtaken(change):
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        node, inbox = balancer.node, asyncio.Queue()
+        upstream = node.core.module.pick.ring[0]
+        operation = model.Operation("x", node.core.module.settings["grades"][0], None, None, 0)
+        dispatch = model.Dispatch(operation, upstream, node.core.now() + change.get("sent", 0))
+        node.upstreams.send(dispatch, S // 2, Message("GET", "/", [], b""), inbox)
+        upstream.state = change.get("state", upstream.state)
+        assert (await inbox.get())[2] == model.MOOT and not peer.connections
+
+
+@loopback
+async def test_lateness_is_taken_off_the_time_limit():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        assert (await balancer.ask())[0] == 200
+        core = balancer.node.core
+        core.worst = (600 * MS, core.now())
+        assert (await balancer.ask(X_Timeout_Ms="1500"))[0] == 503 and len(peer.seen) == 1
+        core.worst = (200 * MS, core.now())
+        assert (await balancer.ask(X_Timeout_Ms="1500"))[0] == 200
+        assert int(header(peer.seen[1][0], b"X-Timeout-Ms")) < 1000
