--- a/pepperhook/net/operation.py
+++ b/pepperhook/net/operation.py
@@ -63,7 +63,6 @@
                 elif what == "break off":
                     self.give(answer, Answer("broken off"))
                 elif what == "left":
-                    self.counters.add("clients left")
                     core.tell(module.left, operation)
                 elif what == "overdue":
                     # Against a fault of the module leaving an operation unanswered.
@@ -75,6 +74,8 @@
             del core.inboxes[operation]
             for dispatch in out:
                 core.upstreams.call_off(dispatch)
+            if answer.cancelled():
+                self.counters.add("clients left")
             self.give(answer, Answer("broken off"))
 
     def give(self, answer, what):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -113,7 +113,11 @@
 
         await asyncio.gather(*(client(number) for number in range(12)))
         counts = balancer.node.counters
-        assert counts["taken"] >= 250
+        while balancer.node.operations.tasks:
+            await asyncio.sleep(0.01)
+        assert counts["taken"] >= 250 and counts["clients left"] > 0
+        assert counts["taken"] == counts["clients left"] + sum(
+            counts[f"answered {kind}"] for kind in ("fulfilled", "shed", "broken off"))
         assert len(one.seen) + len(two.seen) + len(three.seen) <= counts["dispatched"]
         assert counts["dispatched"] > counts["taken"] * 0.8
 
