--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -1,7 +1,6 @@
 """Clients: takes their operations in, decodes what decisions need, and writes the one final answer."""
 
 import asyncio
-import select
 import socket
 from contextlib import suppress
 from functools import partial
@@ -32,29 +31,28 @@
 
 
 class Connection(web.RequestHandler):
-    """One connection; tells when something came, as its handling begins only a turn of the event loop later."""
+    """One connection; tells when something came, as that is handled only a turn of the event loop later."""
 
     def __init__(self, connections, waited_s, **rest):
         super().__init__(connections, **rest)
-        self.connections, self.waited_s = connections, waited_s
+        self.connections, self.waited_s, self.touched = connections, waited_s, False
 
     def data_received(self, data):
-        self.connections.touched(self)
+        # Once for each message, or one that comes byte by byte would never be closed to make room.
+        if not self.touched:
+            self.touched = True
+            self.connections.used(self)
         super().data_received(data)
 
     def unread(self):
         """Whether something has come that was not read yet."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.transport is not None and http.unread(self.transport)
 
 
 class Connections(web.Server):
-    """Clients' connections, bounded. Over ``most`` those that stand idle longest make room and every answer closes
-    its connection; at ``hard`` new ones wait. So descriptors never run out, which would stop all accepting for a
-    second at a time."""
+    """Clients' connections, bounded. Over ``most`` those that stand idle longest make room and every answer
+    closes its connection; at ``hard`` new ones wait. So descriptors never run out, which would stop all
+    accepting for a second at a time."""
 
     def __init__(self, handler, most, hard, request_factory, **rest):
         super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
@@ -128,7 +126,7 @@
         self.busy.discard(handler)
         super().connection_lost(handler, exc)
 
-    def touched(self, handler):
+    def used(self, handler):
         if handler in self.idle:
             # To the end, as the one used last.
             del self.idle[handler]
@@ -141,7 +139,7 @@
     def done(self, handler):
         if handler in self.busy:
             self.busy.discard(handler)
-            self.idle[handler] = self.loop.time()
+            self.idle[handler], handler.touched = self.loop.time(), False
 
     @property
     def count(self):
@@ -248,7 +246,7 @@
         limit = whole(headers, "X-Timeout-Ms")
         limit = grade["limit_ns"] if limit is None else min(grade["limit_ns"], limit * 10 ** 6)
         # Counted from the sending, which nobody tells: the message's way is in the margin; a core that is late
-        # may have let it lie for as long, and will let the answer lie too; a first one may have waited for room.
+        # may have let it lie as long, and will let the answer lie, too; a first one may have waited for room.
         lost, request.protocol.waited_s = int(request.protocol.waited_s * 1e9), 0
         lost += min(limit // 2, MARGIN_NS) + LATE * self.core.late()
         not_after = self.core.now() + max(0, limit - lost)
--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -53,13 +53,7 @@
     async def ask(self, query):
         self.counters.add("list asked")
         try:
-            limit = ASK_S + (self.wait_s if query else 0)
-            async with self.session.get(self.base, params=query, allow_redirects=False,
-                                        timeout=http.limits(limit)) as response:
-                body = await http.whole_body(response, MOST_LIST)
-                if response.status != 200:
-                    raise Broken(f"status {response.status}")
-            self.take(json.loads(body))
+            self.take(json.loads(await http.unspent(lambda: self.read(query))))
         except http.UNSENT + http.BROKEN + (ValueError, RecursionError) as problem:
             self.counters.add("list failed")
             self.log.warning("list_failed", error=f"{type(problem).__name__}: {problem}")
@@ -67,6 +61,14 @@
             return False
         return True
 
+    async def read(self, query):
+        limits = http.limits(ASK_S + (self.wait_s if query else 0))
+        async with self.session.get(
+                self.base, params=query, allow_redirects=False, timeout=limits) as response:
+            if response.status != 200:
+                raise Broken(f"status {response.status}")
+            return await http.whole_body(response, MOST_LIST)
+
     def take(self, told):
         """One list or one set of changes; nothing of it is taken if any of it is broken."""
         if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
--- a/pepperhook/net/http.py
+++ b/pepperhook/net/http.py
@@ -1,8 +1,11 @@
 """Client sessions that send what they are told to, once, and tell of a failure whether anything went out."""
 
+import select
+
 import aiohttp
 
 MOST_BODY = 64 * 1024
+STALE = 20                  # kept connections in a row that may turn out to be spent
 NEVER_CEILED = 10 ** 9      # else the library rounds limits above five seconds up, and answers come late
 
 
@@ -26,6 +29,28 @@
 BROKEN = (aiohttp.ClientError, Dropped, Oversized, OSError)
 
 
+class Request(aiohttp.ClientRequest):
+    """Sends only on a connection on which nothing has come unasked.
+
+    The library hands what came on a kept connection while it stood idle to the next message as its answer:
+    one client would get what was another's. An end that has come and was not read yet shows here, too.
+    """
+
+    async def send(self, conn):
+        if conn.transport is None or conn.protocol.should_close or unread(conn.transport):
+            raise Unwritten("something came on the connection unasked")
+        return await super().send(conn)
+
+
+def unread(transport):
+    """Whether something has come, if only the end, that was not read yet."""
+    if transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 async def once(request, handler):
     """Against the library sending a GET again when a kept connection drops: a dispatch that nobody counts.
 
@@ -43,12 +68,22 @@
         raise Dropped(str(problem)) from problem
 
 
+async def unspent(exchange):
+    """Makes the exchange on the first connection that is not spent; nothing has gone out on those before."""
+    for _ in range(STALE):
+        try:
+            return await exchange()
+        except Unwritten:
+            continue
+    raise Unwritten(f"{STALE} connections in a row were spent")
+
+
 def session(**connections):
     """No redirects, cookies, proxies, decompression or quoting, and no headers of the library's own."""
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(use_dns_cache=False, **connections),
         cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
-        requote_redirect_url=False, middlewares=(once,),
+        requote_redirect_url=False, middlewares=(once,), request_class=Request,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"))
 
 
--- a/pepperhook/net/node.py
+++ b/pepperhook/net/node.py
@@ -17,7 +17,7 @@
     def __init__(self, told, log):
         self.told, self.log, self.counters = told, log, Counters(log)
         self.core = Core(log, self.counters)
-        # Two fifths of the descriptors are for upstreams, the rest for clients, of which a sixth only in a rush.
+        # Two fifths of the descriptors are for upstreams, half for clients, the rest for a rush of these.
         usable = told.sockets - SPARE
         self.upstreams = Upstreams(self.core, log, self.counters, told.settings, usable * 2 // 5)
         self.discovery = Discovery(self.core, log, self.counters, told, self.upstreams)
--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -39,8 +39,8 @@
         self.core, self.log, self.counters, self.most_sockets = core, log, counters, most_sockets
         self.dials, self.tasks, self.probes, self.sockets = {}, {}, set(), WeakSet()
         self.connect_s = settings.get("connect_limit_ns", 10 ** 9) / 1e9
-        # Against writing on a connection that the upstream closes as idle, which ends as a reset. The library looks
-        # for idle ones only once in that time, so some stand for twice as long.
+        # Against writing on a connection that the upstream closes as idle, which ends as a reset. The library
+        # looks for idle ones only once in that time, so some stand for twice as long.
         idle_s = IDLE_SHARE * settings.get("idle_ns", 15 * 10 ** 9) / 1e9
         self.session = http.session(limit=0, keepalive_timeout=idle_s, socket_factory=self.socket)
 
@@ -78,19 +78,10 @@
         for_ns += dispatch.sent - begun
         if dial is None or dispatch.upstream.state != model.READY or for_ns <= 0:
             return model.MOOT, None     # told since it was chosen, or this program was late
-        headers = message.headers + [("X-Timeout-Ms", str(max(1, for_ns // 10 ** 6)))]
         try:
-            async with self.session.request(
-                    message.method, URL(f"http://{dial}{message.target}", encoded=True), headers=headers,
-                    data=message.body or None, allow_redirects=False,
-                    timeout=http.limits(for_ns / 1e9, self.connect_s)) as response:
-                body = await http.whole_body(response)
-                if response.status == 200:
-                    return model.FULFILLED, Received(body, response.headers.get("Content-Type"))
-                never_ran = response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1"
-                return (model.FULL if never_ran else model.ERROR), None
+            return await http.unspent(lambda: self.exchange(dial, message, begun + for_ns))
         except http.UNSENT as problem:
-            # Against taking an upstream for dead where it is this program that has no socket left or stood still.
+            # Against taking an upstream for dead where this program has no socket left, or stood still.
             own = isinstance(problem.__cause__, http.Bound) or (
                 isinstance(problem, TimeoutError) and self.core.now() - begun > LATE * self.connect_s * 1e9)
             return (model.MOOT if own else model.UNCONNECTED), None
@@ -102,6 +93,21 @@
             self.log.exception("dispatch_fault", upstream=dial)
             return model.RESET, None
 
+    async def exchange(self, dial, message, ends):
+        for_s = (ends - self.core.now()) / 1e9
+        if for_s <= 0:
+            raise TimeoutError
+        headers = message.headers + [("X-Timeout-Ms", str(max(1, int(for_s * 1000))))]
+        async with self.session.request(
+                message.method, URL(f"http://{dial}{message.target}", encoded=True), headers=headers,
+                data=message.body or None, allow_redirects=False,
+                timeout=http.limits(for_s, self.connect_s)) as response:
+            body = await http.whole_body(response)
+            if response.status == 200:
+                return model.FULFILLED, Received(body, response.headers.get("Content-Type"))
+            never_ran = response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1"
+            return (model.FULL if never_ran else model.ERROR), None
+
     def probe(self, upstream, tell):
         task = self.core.loop.create_task(self.ask(upstream, tell))
         self.probes.add(task)
@@ -111,16 +117,19 @@
     async def ask(self, upstream, tell):
         begun, outcome = self.core.now(), model.UNCONNECTED
         try:
-            async with self.session.get(
-                    URL(f"http://{self.dials[upstream]}/ping", encoded=True), allow_redirects=False,
-                    timeout=http.limits(PROBE_CONNECTS * self.connect_s, self.connect_s)) as response:
-                await http.whole_body(response)
-                outcome = model.FULFILLED if response.status == 200 else model.ERROR
+            outcome = await http.unspent(lambda: self.ping(self.dials[upstream]))
         except http.UNSENT + http.BROKEN + (KeyError, ValueError):
             pass
         finally:
             tell(upstream, outcome, self.core.now() - begun)
 
+    async def ping(self, dial):
+        async with self.session.get(
+                URL(f"http://{dial}/ping", encoded=True), allow_redirects=False,
+                timeout=http.limits(PROBE_CONNECTS * self.connect_s, self.connect_s)) as response:
+            await http.whole_body(response)
+            return model.FULFILLED if response.status == 200 else model.ERROR
+
     async def close(self):
         tasks = list(self.tasks.values()) + list(self.probes)
         for task in tasks:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,7 @@
 """The balancer on loopback sockets, before small scripted peers."""
 
 import asyncio
+import contextlib
 import random
 
 import pytest
@@ -8,7 +9,7 @@
 from pepperhook import model
 from pepperhook.net import http
 from pepperhook.net.upstreams import Message
-from tests.world import ENV, MS, S, Peer, Running, answer, header, hosts, loopback
+from tests.world import ENV, MS, S, Peer, Running, answer, header, hosts, loopback, read_message
 
 
 @loopback
@@ -359,3 +360,68 @@
         while not peer.lost:
             await asyncio.sleep(0.01)
         assert (await balancer.ask())[0] == 200 and peer.connections == 2
+
+
+@pytest.mark.parametrize("unasked", [answer(body=b"not yours"), b"HTTP/1.1 408 X\r\n\r\n", b"x", answer() + b"GET"])
+@loopback
+async def test_what_comes_unasked_is_nobodys_answer(unasked):
+    # Against one client getting what was another's, or the rest of it.
+    own, came = 0, asyncio.Event()
+
+    class Rude(Peer):
+        async def serve(self, reader, writer):
+            nonlocal own
+            self.writers.add(writer)
+            self.connections += 1
+            try:
+                while True:
+                    await read_message(reader)
+                    own += 1
+                    writer.write(answer(body=b"own %d" % own))
+                    await asyncio.sleep(0.01)
+                    writer.write(unasked)
+                    came.set()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+
+    async with Rude(None) as peer, Running([peer.dial]) as balancer:
+        for at in range(1, 6):
+            came.clear()
+            assert await balancer.ask() == (200, b"own %d" % at)
+            await came.wait()
+            await asyncio.sleep(0.01 * (at % 2))    # read already, or not yet
+        assert peer.connections == 5 and balancer.node.counters["dispatched"] == 5
+
+
+@loopback
+async def test_kept_connections_that_the_upstream_has_closed_are_passed_over():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        asks = [balancer.ask("/pay", b"POST", b"1", X_Timeout_Ms="1900") for _ in range(3)]
+        assert {status for status, _ in await asyncio.gather(*asks)} == {200}
+        for writer in list(peer.writers):
+            writer.close()
+        # The end has come, but the balancer had no turn to read it.
+        assert (await balancer.ask("/pay", b"POST", b"1"))[0] == 200
+        assert balancer.node.counters["dispatches reset"] == 0
+
+
+@loopback
+async def test_messages_that_come_byte_by_byte_do_not_keep_others_out():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial], sockets=64) as balancer:
+        ended = False
+
+        async def dribble():
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", balancer.port)
+                for at in range(5000):
+                    if ended or writer.is_closing():
+                        break
+                    writer.write(b"GET /look HTTP/1.1\r\nA: "[at:at + 1] or b"x")
+                    await asyncio.sleep(0.02)
+                writer.close()
+
+        dribbling = [asyncio.ensure_future(dribble()) for _ in range(60)]
+        for _ in range(5):
+            assert (await balancer.ask())[0] == 200
+        ended = True
+        await asyncio.gather(*dribbling)
