--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -18,7 +18,7 @@
 BACKLOG, ACCEPTS = 1024, 16     # what the machine holds for this program, and what it takes in at once
 PAUSE_S = 0.02          # between looks for room for new connections
 CROWDED = 0.9           # share of the bound that may be at work; what is beyond gets its answer at once
-LATE = 3                # times that lateness meets a message: accepting, reading, and writing the answer
+LATE = 10               # turns of the event loop from a message's arrival to its answer's leaving, each late
 PART_S = 0.1            # for what is still open when the time to leave is up
 
 
