--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -9,6 +9,7 @@
 
 from pepperhook import model
 from pepperhook.net import http
+from pepperhook.net.operation import Answer
 from pepperhook.net.upstreams import FORWARDED, Message
 
 IDLE_S = 75             # a kept connection may stand idle this long
@@ -18,7 +19,7 @@
 BACKLOG, ACCEPTS = 1024, 16     # what the machine holds for this program, and what it takes in at once
 PAUSE_S = 0.02          # between looks for room for new connections
 CROWDED = 0.9           # share of the bound that may be at work; what is beyond gets its answer at once
-LATE = 10               # turns of the event loop from a message's arrival to its answer's leaving, each late
+LATE = 3                # times that lateness meets a message: accepting, reading, and writing the answer
 PART_S = 0.1            # for what is still open when the time to leave is up
 
 
@@ -199,6 +200,10 @@
                 raise Refused(503, "too many connections")
             message = await self.message(request)
             operation = self.operation(request)
+            if operation.not_after <= self.core.now():
+                # It lay here too long. Against a core that is short doing more for it than answering.
+                self.counters.add("too late")
+                return self.encode(Answer("shed"))
         except Refused as problem:
             self.counters.add("not taken")
             self.log.info("not_taken", status=problem.status, why=problem)
--- a/pepperhook/net/core.py
+++ b/pepperhook/net/core.py
@@ -6,14 +6,7 @@
 from pepperhook import model
 
 BEAT_S = 0.025              # between looks at how late the event loop is
-# In which the worst of it counts half, as what lay there meanwhile is read at once; and the second worst, which
-# stands for a core that is late again and again: one long standstill must not have all shed for a second.
-WORST_SPAN, SECOND_SPAN = 50 * 10 ** 6, 500 * 10 ** 6
-
-
-def faded(seen, now, span):
-    late, at = seen
-    return late * 0.5 ** ((now - at) / span)
+LATE_SPAN = 500 * 10 ** 6   # in which the worst of that counts half
 
 
 class Core:
@@ -26,7 +19,7 @@
         self.module = self.upstreams = self.discovery = None
         self.inboxes = {}       # of each operation under way, by itself
         self.alarm, self.alarm_at = None, None
-        self.beat, self.worst, self.second = None, (0, 0), (0, 0)
+        self.beat, self.worst = None, (0, 0)
 
     def now(self):
         return time.monotonic_ns() + self.offset
@@ -39,16 +32,14 @@
     def heartbeat(self, before):
         now = self.now()
         late = max(0, now - before - int(BEAT_S * 1e9))
-        if late > faded(self.worst, now, SECOND_SPAN):
-            self.worst, self.second = (late, now), self.worst
-        elif late > faded(self.second, now, SECOND_SPAN):
-            self.second = late, now
+        if late > self.late():
+            self.worst = late, now
         self.beat = self.loop.call_later(BEAT_S, self.heartbeat, now)
 
     def late(self):
-        """How late this program comes to do things, in nanoseconds."""
-        now = self.now()
-        return int(max(faded(self.worst, now, WORST_SPAN), faded(self.second, now, SECOND_SPAN)))
+        """How late this program has lately come to do things, in nanoseconds: the worst, fading."""
+        worst, at = self.worst
+        return int(worst * 0.5 ** ((self.now() - at) / LATE_SPAN))
 
     def tell(self, call, *about):
         """Makes one call to the module and carries out its results, in their order."""
