--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -20,7 +20,6 @@
 PAUSE_S = 0.02          # between looks for room for new connections
 CROWDED = 0.9           # share of the bound that may be at work; what is beyond gets its answer at once
 LATE = 3                # times that lateness meets a message: accepting, reading, and writing the answer
-TURNS = 20              # of the event loop that an operation takes, with the messages of its dispatch
 PART_S = 0.1            # for what is still open when the time to leave is up
 
 
@@ -201,10 +200,8 @@
                 raise Refused(503, "too many connections")
             message = await self.message(request)
             operation = self.operation(request)
-            if operation.not_after <= self.core.now() or (
-                    TURNS * self.core.late_again() > self.longest_s * 1e9):
-                # Against a core that is short doing more than answering for what lay here too long, or for so
-                # much that whatever it sends comes back too late.
+            if operation.not_after <= self.core.now():
+                # It lay here too long. Against a core that is short doing more for it than answering.
                 self.counters.add("too late")
                 return self.encode(Answer("shed"))
         except Refused as problem:
--- a/pepperhook/net/core.py
+++ b/pepperhook/net/core.py
@@ -6,7 +6,7 @@
 from pepperhook import model
 
 BEAT_S = 0.025              # between looks at how late the event loop is
-LATE_SPAN = 500 * 10 ** 6   # in which the worst of that, and the second worst, count half
+LATE_SPAN = 500 * 10 ** 6   # in which the worst of that counts half
 
 
 class Core:
@@ -19,7 +19,7 @@
         self.module = self.upstreams = self.discovery = None
         self.inboxes = {}       # of each operation under way, by itself
         self.alarm, self.alarm_at = None, None
-        self.beat, self.worst, self.second = None, (0, 0), (0, 0)
+        self.beat, self.worst = None, (0, 0)
 
     def now(self):
         return time.monotonic_ns() + self.offset
@@ -33,22 +33,13 @@
         now = self.now()
         late = max(0, now - before - int(BEAT_S * 1e9))
         if late > self.late():
-            self.worst, self.second = (late, now), self.worst
-        elif late > self.late_again():
-            self.second = late, now
+            self.worst = late, now
         self.beat = self.loop.call_later(BEAT_S, self.heartbeat, now)
 
     def late(self):
         """How late this program has lately come to do things, in nanoseconds: the worst, fading."""
-        return self.faded(self.worst)
-
-    def late_again(self):
-        """The second worst: more than a single pause, a core that is short."""
-        return self.faded(self.second)
-
-    def faded(self, seen):
-        late, at = seen
-        return int(late * 0.5 ** ((self.now() - at) / LATE_SPAN))
+        worst, at = self.worst
+        return int(worst * 0.5 ** ((self.now() - at) / LATE_SPAN))
 
     def tell(self, call, *about):
         """Makes one call to the module and carries out its results, in their order."""
