--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import random
 import time
 
@@ -481,3 +482,28 @@
             assert (await balancer.ask())[0] == 200
         ended = True
         await asyncio.gather(*dribbling)
+
+
+@loopback
+async def test_accepting_goes_on_after_the_system_had_no_descriptor_left():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        server, tries = balancer.node.clients.server, 0
+
+        class Short:
+            def __init__(self, listener):
+                self.listener = listener
+
+            def __getattr__(self, name):
+                return getattr(self.listener, name)
+
+            def accept(self):
+                nonlocal tries
+                tries += 1
+                if tries < 4:
+                    raise OSError(errno.EMFILE, "none left")
+                return self.listener.accept()
+
+        server.listener = Short(server.listener)
+        assert (await balancer.ask())[0] == 200 and tries >= 4
+        server.listener = server.listener.listener
+        assert (await balancer.ask())[0] == 200
