--- a/pepperhook/net/operation.py
+++ b/pepperhook/net/operation.py
@@ -5,7 +5,7 @@
 
 from pepperhook import model
 
-OVERDUE_S = 0.005   # past the time limit, within which the module's own last word comes
+OVERDUE_S = 0.015   # past the time limit, within which the module's own last word comes
 
 
 @dataclass
@@ -65,8 +65,8 @@
                 elif what == "left":
                     core.tell(module.left, operation)
                 elif what == "overdue":
-                    # Against a fault of the module leaving an operation unanswered.
-                    self.log.error("operation_overdue", id=operation.id)
+                    # Against a fault of the module, or a late core, leaving an operation unanswered.
+                    self.log.warning("operation_overdue", id=operation.id)
                     self.give(answer, Answer("broken off"))
         finally:
             if not operation.over:
