--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -10,18 +10,30 @@
 from pepperhook.net.node import Node
 
 
+def reload(node, logger):
+    try:
+        told = config.read(os.environ, again=True)
+    except config.Faulty as problem:
+        logger.error("reload_refused", error=problem)
+        return
+    node.reload(told)
+
+
 async def serve(told, logger):
     stop, node = asyncio.Event(), Node(told, logger)
     for number in signal.SIGTERM, signal.SIGINT:
         node.core.loop.add_signal_handler(number, stop.set)
     node.core.loop.add_signal_handler(signal.SIGUSR1, node.counters.show)
     await node.start()
+    node.core.loop.add_signal_handler(signal.SIGHUP, reload, node, logger)
     await stop.wait()
     await node.leave()
 
 
 def main():
     logger = log.start()
+    # Against a reload that is asked for before there is anything to reload ending the program.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         told = config.read(os.environ)
     except config.Faulty as problem:
--- a/pepperhook/net/config.py
+++ b/pepperhook/net/config.py
@@ -25,8 +25,8 @@
     names: dict
 
 
-def read(environ):
-    """The configuration that the environment points to."""
+def read(environ, again=False):
+    """The configuration that the environment points to; again: the file was replaced while this program ran."""
     told = {}
     path = environ.get("LB_CONFIG")
     if path:
@@ -43,10 +43,13 @@
             raise Faulty("settings: is missing" + ("" if path else "; LB_CONFIG names no file"))
         # On sockets the list is always asked for, also where the simulator would bring news unasked.
         decided = dict(settings.read(env), asks=True)
+        discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
+        # The environment is that of the start: a list that moved since then is named by the file alone.
+        discovery = discovery[1] or discovery[0] if again else discovery[0] or discovery[1]
         return Config(
             name=str(environ.get("LB_NAME") or told.get("name") or "balancer"),
             listen=address("listen", environ.get("LB_LISTEN") or told.get("listen")),
-            discovery=address("discovery", environ.get("LB_DISCOVERY") or told.get("discovery")),
+            discovery=address("discovery", discovery),
             seed=seed(told.get("seed", "0")), sockets=sockets(told.get("limits")),
             known=known(told.get("known")), settings=decided, names=settings.names(env))
     except model.Missing as problem:
--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -8,6 +8,7 @@
 
 STATES = {"ready": model.READY, "draining": model.DRAINING, "gone": model.GONE}
 ASK_S = 1.5             # longest an answer may take beyond the wait that was asked for
+MOVED_S, AGAIN_S = 3, 0.4       # after a move a failed ask is followed by others, at half to one and a half of that
 LONGEST_WAIT_S = 20
 EARLY_S, PAUSE_S = 0.05, 0.1    # an answer with no news that comes this soon is followed by a pause
 MOST_LIST = 4 * 1024 * 1024
@@ -22,19 +23,36 @@
 
     def __init__(self, core, log, counters, config, upstreams):
         self.core, self.log, self.counters, self.upstreams = core, log, counters, upstreams
-        self.base = "http://{}:{}/catalog/members".format(*config.discovery)
         self.zones, self.kinds = config.names["zones"], config.names["kinds"]
         self.known, self.version, self.tasks, self.ready = {}, None, {}, False
         # Short against the time after which silence counts as being told: a dead list is noticed before.
         self.wait_s = min(LONGEST_WAIT_S, config.settings.get("ask_within_ns", 10 ** 10) / 2e9)
+        self.base, self.session, self.moved, self.closing = None, None, -MOVED_S, set()
+        self.dial(config.discovery)
+
+    def dial(self, address):
+        self.base = "http://{}:{}/catalog/members".format(*address)
         self.session = http.session(limit=4)
 
+    def move(self, address):
+        """Asks another service from now on. The list as known stays in force until that one has told its own,
+        whole, as its versions say nothing of the old one's; what the old one still says is not heard."""
+        for task in self.tasks.values():
+            task.cancel()
+        self.tasks.clear()
+        task = self.core.loop.create_task(self.session.close())
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+        self.version, self.moved = None, self.core.loop.time()
+        self.dial(address)
+        self.want("watch")
+
     def want(self, what):
         """ "watch": news from now on, until it breaks; "fetch": the whole list once."""
         if what not in self.tasks:
             work = self.watch() if what == "watch" else self.fetch()
             self.tasks[what] = task = self.core.loop.create_task(work)
-            task.add_done_callback(lambda _: self.tasks.pop(what))
+            task.add_done_callback(lambda done: self.tasks.get(what) is done and self.tasks.pop(what))
 
     async def watch(self):
         """Asks again at once after each answer, as a gap would begin a new watch."""
@@ -57,6 +75,11 @@
         except http.UNSENT + http.BROKEN + (ValueError, RecursionError) as problem:
             self.counters.add("list failed")
             self.log.warning("list_failed", error=f"{type(problem).__name__}: {problem}")
+            if self.version is None and self.core.loop.time() < self.moved + MOVED_S:
+                # Against news that the old service had no time to tell coming late: the module, which spreads asks
+                # over seconds, would wait. By chance, as others may have moved at the same moment.
+                await asyncio.sleep(AGAIN_S * (0.5 + self.core.module.chance()))
+                return True
             self.core.tell(self.core.module.listing_failed)
             return False
         return True
@@ -119,5 +142,5 @@
         tasks = list(self.tasks.values())
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, *self.closing, return_exceptions=True)
         await self.session.close()
--- a/pepperhook/net/node.py
+++ b/pepperhook/net/node.py
@@ -1,5 +1,7 @@
 """One balancer put together: what is made here is given back here, in the reverse order."""
 
+import dataclasses
+
 from pepperhook import policy
 from pepperhook.net.clients import Clients
 from pepperhook.net.core import Core
@@ -37,6 +39,15 @@
         self.log.info("started", name=self.told.name, listen="{}:{}".format(*self.told.listen),
                       tier=self.told.settings.get("tier", 0))
 
+    def reload(self, told):
+        """Takes what a replaced file says and can be taken while running; the rest is named in the log."""
+        kept = [name for name in ("listen", "sockets", "settings") if getattr(told, name) != getattr(self.told, name)]
+        if told.discovery != self.told.discovery:
+            self.discovery.move(told.discovery)
+        self.told = dataclasses.replace(self.told, discovery=told.discovery)
+        self.log.info("reloaded", discovery="{}:{}".format(*told.discovery), **(
+            {"wait_for_a_restart": ",".join(kept)} if kept else {}))
+
     async def leave(self, accept_s=ACCEPT_S):
         self.log.info("leaving", under_way=len(self.operations.tasks))
         await self.clients.close(accept_s, self.clients.longest_s + LEAVE_S - accept_s)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,7 +11,7 @@
 from pepperhook import model
 from pepperhook.net import http
 from pepperhook.net.upstreams import Message
-from tests.world import ENV, MS, S, Peer, Running, answer, header, hosts, loopback, read_message
+from tests.world import ENV, MS, S, Peer, Running, answer, header, hosts, loopback, read_message, told
 
 
 @loopback
@@ -248,6 +248,44 @@
         assert (await balancer.ask())[0] == 200
 
 
+@loopback
+async def test_after_a_move_the_new_service_is_asked_at_once_for_its_whole_list():
+    asked = []
+
+    async def old(head, _):
+        if b"since" not in head.split()[1]:
+            return answer(body=b'{"seq":90,"whole":true,"hosts":' + json_hosts(one.dial, two.dial) + b"}")
+        await asyncio.sleep(0.2)    # news that crosses the move, and would be newer by its number
+        return answer(body=b'{"seq":91,"whole":true,"hosts":' + json_hosts(two.dial) + b"}")
+
+    async def new(head, _):
+        asked.append(head.split()[1])
+        if len(asked) == 1:
+            return answer(503)
+        if b"since" in asked[-1]:
+            return None
+        return answer(body=b'{"seq":4,"whole":true,"hosts":' + json_hosts(one.dial) + b"}")
+
+    env = dict(ENV, discovery="ask", safety={"askWithinUs": 10 ** 9})
+    async with Peer(lambda *_: answer()) as one, Peer(lambda *_: answer()) as two, Peer(old) as before, Peer(
+            new) as after, Running(discovery=before.dial, env=env) as balancer:
+        discovery, moved = balancer.node.discovery, told(discovery=after.dial, env=env)
+        while discovery.version != 90:
+            await asyncio.sleep(0.01)
+        balancer.node.reload(told(discovery=before.dial, env=env))
+        assert discovery.version == 90, "nothing moved"
+        balancer.node.reload(moved)
+        assert (await balancer.ask())[0] == 200, "the old list stands"
+        while len(asked) < 3:
+            await asyncio.sleep(0.01)
+        # The module's own next ask after a failure would be half a minute away.
+        assert asked[:2] == [b"/catalog/members"] * 2 and asked[2].startswith(b"/catalog/members?since=4&")
+        while len(before.writers) or discovery.closing:
+            await asyncio.sleep(0.01)
+        assert discovery.version == 4 and [u.address for u in balancer.node.core.module.pick.ring] == [b"h0"]
+        assert balancer.node.core.module.discovery.watching and set(discovery.tasks) == {"watch"}
+
+
 def json_hosts(*dials):
     return str(hosts(dials)).replace("'", '"').encode()
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -65,6 +65,12 @@
     assert config.read(write(tmp_path)).settings == {**settings.read(ENV), "asks": True}
 
 
+def free_port():
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        return held.getsockname()[1]
+
+
 def start(environ):
     kept = {name: os.environ[name] for name in ("PATH", "PYTHONPATH") if name in os.environ}
     return subprocess.Popen([sys.executable, "-B", "-m", "pepperhook"], env={**kept, **environ}, text=True,
@@ -89,9 +95,7 @@
         return answer()
 
     async with Peer(script) as peer:
-        with socket.socket() as held:
-            held.bind(("127.0.0.1", 0))
-            port = held.getsockname()[1]
+        port = free_port()
         balancer = Running()
         balancer.port = port
         process = start({**write(tmp_path, known={"seq": 1, "whole": True, "hosts": hosts([peer.dial])}),
@@ -119,6 +123,35 @@
         assert "level=error" not in err
 
 
+@loopback
+async def test_a_replaced_file_is_taken_on_sighup_and_a_faulty_one_is_not(tmp_path):
+    def script(head, _):
+        if b"since" in head:
+            return None
+        return answer(body=b'{"seq":1,"whole":true,"hosts":[]}')
+
+    async with Peer(script) as first, Peer(script) as second:
+        process = start({**write(tmp_path, discovery=first.dial), "LB_DISCOVERY": first.dial,
+                         "LB_LISTEN": "127.0.0.1:%d" % free_port()})
+
+        async def line_with(event):
+            while f"event={event}" not in (line := await asyncio.to_thread(process.stderr.readline)):
+                assert line, "the program has ended"
+            return line
+
+        await line_with("list_known")
+        for seed, event in ("xyz", 'reload_refused error="seed: '), ("ff", f"reloaded discovery={second.dial}"):
+            write(tmp_path, discovery=second.dial, seed=seed)
+            assert not second.seen
+            process.send_signal(signal.SIGHUP)
+            await line_with(event)
+        while len(second.seen) < 2:
+            await asyncio.sleep(0.01)
+        process.send_signal(signal.SIGTERM)
+        await line_with("ended")
+        assert process.wait(60) == 0
+
+
 def test_a_log_line_is_one_line_of_pairs(caplog):
     made = log.Log(logging.getLogger("test"))
     with caplog.at_level(logging.INFO):
