--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -23,7 +23,7 @@
     stop, node = asyncio.Event(), Node(told, logger)
     for number in signal.SIGTERM, signal.SIGINT:
         node.core.loop.add_signal_handler(number, stop.set)
-    node.core.loop.add_signal_handler(signal.SIGUSR1, node.counters.show)
+    node.core.loop.add_signal_handler(signal.SIGUSR1, node.show)
     await node.start()
     node.core.loop.add_signal_handler(signal.SIGHUP, reload, node, logger)
     await stop.wait()
--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -40,6 +40,7 @@
 READY, DRAINING, GONE = "ready", "draining", "gone"
 FULFILLED, ERROR, FULL, TIMED_OUT = "fulfilled", "error", "full", "timed out"
 UNCONNECTED, RESET, CALLED_OFF, MOOT = "unconnected", "reset", "called off", "moot"
+SPOILT = "spoilt"       # an answer came, in time, that can't be used: it has run
 NEVER_RAN = frozenset((FULL, UNCONNECTED, MOOT))
 RETRIABLE, FINGERPRINTED, BINDING = "retriable", "fingerprinted", "binding"
 
--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -111,14 +111,14 @@
                 upstream = self.known[host] = model.Upstream(host.encode())
             for name, value in fields.items():
                 setattr(upstream, name, value)
-            self.upstreams.dials[upstream] = dial
+            self.upstreams.listed(upstream, dial, launched)
             rows.append((upstream, state, launched))
         self.core.tell(self.core.module.listing, whole, rows)
         self.version = version
         for host, upstream in list(self.known.items()):
             if upstream.state == model.GONE:
-                # Dispatches still out need no address any more.
-                del self.known[host], self.upstreams.dials[upstream]
+                del self.known[host]
+                self.upstreams.dropped(upstream)
         if not self.ready:
             self.log.info("list_known", version=version, upstreams=len(self.known))
         self.ready = True
--- a/pepperhook/net/http.py
+++ b/pepperhook/net/http.py
@@ -1,8 +1,12 @@
-"""Client sessions that send what they are told to, once, and tell of a failure whether anything went out."""
+"""Client sessions that send what they are told to, once, take one answer for it, and tell of a failure whether
+anything went out."""
 
 import select
+from functools import partial
+from math import inf
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 MOST_BODY = 64 * 1024
 STALE = 20                  # kept connections in a row that may turn out to be spent
@@ -21,12 +25,97 @@
     """No connection was tried, as this program's own are at their bound."""
 
 
-class Oversized(Exception):
-    """An answer with more than 64 KiB of body."""
+class Spoilt(Exception):
+    """An answer that cannot be used: too large, or never whole."""
 
 
 UNSENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, Unwritten)
-BROKEN = (aiohttp.ClientError, Dropped, Oversized, OSError)
+# The connection held, and what came on it was no answer; a broken one gives other errors, or a cause of its own.
+SPOILT = (Spoilt, aiohttp.ClientResponseError)
+BROKEN = (aiohttp.ClientError, Dropped, Spoilt, OSError)
+
+
+class Answers(ResponseHandler):
+    """What comes on a connection: one answer for each message, in good time once begun, and nothing behind it.
+
+    The library's parser throws a good answer away if noise comes with it in one read, and keeps a second one for
+    the next message. So it gets heads and bodies one by one, and nothing of what is beyond the answer's length.
+    """
+
+    def __init__(self, loop, rest_s):
+        super().__init__(loop)
+        self.rest_s, self.rest = rest_s, None
+        self.body, self.left, self.ends, self.partly = None, 0, b"", False
+
+    def set_response_params(self, **params):
+        # A message is about to be written.
+        self.body, self.left, self.ends, self.partly = None, None, b"", False
+        super().set_response_params(**params)
+
+    @property
+    def whole(self):
+        return self.left == 0 or self.body is not None and self.body.is_eof()
+
+    def data_received(self, data):
+        if not data:
+            super().data_received(data)     # the library goes on after a pause
+        while data and not self.whole and self.exception() is None:
+            piece = data[:self.most(data)]
+            data = data[len(piece):]
+            if self.left is not None:
+                self.left -= len(piece)
+            self.ends, self.partly = (self.ends + piece)[-3:], True
+            super().data_received(piece)
+        if self.exception() is not None and self.body is not None and not self.body.is_eof():
+            self.body.set_exception(Spoilt("the body can't be read"))   # else it would look like a broken connection
+        if data and self.transport is not None:
+            # It is nobody's, and nothing that comes after it could be told from it.
+            self.force_close()
+            self.transport.close()
+        self.expect()
+
+    def most(self, data):
+        """How much of this belongs together: a head, or what is left of a body."""
+        if self.left is not None:
+            return min(self.left, len(data))
+        end = (self.ends + data).find(b"\r\n\r\n")
+        return len(data) if end < 0 else end + 4 - len(self.ends)
+
+    def feed_data(self, data, size=0):
+        """A head was read."""
+        message, payload = data
+        self.ends, self.partly = b"", False
+        if message.code >= 200 or message.code == 101:
+            length = message.headers.get("Content-Length")
+            self.body, self.left = payload, inf if length is None else int(length)
+        super().feed_data(data, size)
+
+    def expect(self):
+        """Against half an answer on a connection that stays open holding its dispatch to the end of its time."""
+        begun = not self.whole and (self.partly or self.left is not None)
+        if self.rest is None and begun and self.rest_s is not None:
+            self.rest = self._loop.call_later(self.rest_s, self.overdue)
+        elif self.rest is not None and not begun:
+            self.rest.cancel()
+            self.rest = None
+
+    def overdue(self):
+        self.rest, problem = None, Spoilt("the rest of the answer did not come")
+        if self.body is not None:
+            self.body.set_exception(problem)
+        self.set_exception(problem)
+
+    def connection_lost(self, exc):
+        if self.rest is not None:
+            self.rest.cancel()
+            self.rest = None
+        super().connection_lost(exc)
+
+
+class Connector(aiohttp.TCPConnector):
+    def __init__(self, rest_s, **named):
+        super().__init__(use_dns_cache=False, **named)
+        self._factory = partial(Answers, self._loop, rest_s)
 
 
 class Request(aiohttp.ClientRequest):
@@ -78,10 +167,11 @@
     raise Unwritten(f"{STALE} connections in a row were spent")
 
 
-def session(**connections):
-    """No redirects, cookies, proxies, decompression or quoting, and no headers of the library's own."""
+def session(rest_s=None, **connections):
+    """No redirects, cookies, proxies, decompression or quoting, and no headers of the library's own; rest_s: how
+    long an answer may take from its first byte to its last."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(use_dns_cache=False, **connections),
+        connector=Connector(rest_s, **connections),
         cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
         requote_redirect_url=False, middlewares=(once,), request_class=Request,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"))
@@ -91,11 +181,19 @@
     return aiohttp.ClientTimeout(total=total_s, connect=connect_s, ceil_threshold=NEVER_CEILED)
 
 
+def bounded(response):
+    """Whether the answer tells its length, and so whether it is whole."""
+    return response.content_length is not None or (
+        "chunked" in response.headers.get("Transfer-Encoding", "").lower())
+
+
 async def whole_body(response, most=MOST_BODY):
+    # Leaving the answer half read closes its connection.
+    if (response.content_length or 0) > most:
+        raise Spoilt(f"over {most} bytes")
     body = bytearray()
     async for chunk in response.content.iter_any():
         body += chunk
         if len(body) > most:
-            # Leaving the answer half read closes its connection.
-            raise Oversized(f"over {most} bytes")
+            raise Spoilt(f"over {most} bytes")
     return bytes(body)
--- a/pepperhook/net/node.py
+++ b/pepperhook/net/node.py
@@ -48,6 +48,23 @@
         self.log.info("reloaded", discovery="{}:{}".format(*told.discovery), **(
             {"wait_for_a_restart": ",".join(kept)} if kept else {}))
 
+    def show(self):
+        """Counters, and what the decisions believe beside what is open on sockets."""
+        self.counters.show()
+        module, now = self.core.module, self.core.now()
+        self.log.info("budget", B=round(module.budget.B, 3), f=round(module.budget.f, 3),
+                      waiting=len(module.gate.queue), under_way=len(self.operations.tasks),
+                      late_ms=self.core.late() // 10 ** 6)
+        for upstream in module.pick.listed:
+            line = self.upstreams.lines.get(upstream)
+            self.log.info("upstream", host=upstream.address.decode(errors="replace"), state=upstream.state,
+                          member=upstream in module.pick.members, weight=round(upstream.weight, 3),
+                          slow=round(upstream.slow, 2), faults=round(upstream.faults.mean(now, 0, 2), 2),
+                          warm=upstream.warm_from is None, dark=upstream.dark_since is not None,
+                          out=len(upstream.pending), on_sockets=line.out if line else 0,
+                          given_up=round(upstream.ghosts.fade(now).weight, 1),
+                          room=round(upstream.done.fade(now).total / upstream.done.span, 1))
+
     async def leave(self, accept_s=ACCEPT_S):
         self.log.info("leaving", under_way=len(self.operations.tasks))
         await self.clients.close(accept_s, self.clients.longest_s + LEAVE_S - accept_s)
--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -14,6 +14,7 @@
 FORWARDED = ("X-Request-ID", "Idempotency-Key", "Content-Type")
 NOT_PROCESSED = "X-Not-Processed"
 IDLE_SHARE = 0.45       # of the time after which an upstream closes an idle connection
+REST_S = 0.4            # from the first byte of an answer to its last: it is one write, and stops are shorter
 LATE = 1.5              # times the limit for connecting that its end may take to be noticed
 PROBE_CONNECTS = 4      # a probe may take as many times the limit for connecting
 
@@ -34,15 +35,44 @@
     content_type: str | None
 
 
+class Line:
+    """The way to one upstream: its address and the connections there, which are of no use to any other."""
+
+    def __init__(self, dial, launched, session):
+        self.dial, self.launched, self.session, self.out, self.dropped = dial, launched, session, 0, False
+
+
 class Upstreams:
     def __init__(self, core, log, counters, settings, most_sockets):
         self.core, self.log, self.counters, self.most_sockets = core, log, counters, most_sockets
-        self.dials, self.tasks, self.probes, self.sockets = {}, {}, set(), WeakSet()
+        self.lines, self.tasks, self.probes, self.sockets, self.closing = {}, {}, set(), WeakSet(), set()
         self.connect_s = settings.get("connect_limit_ns", 10 ** 9) / 1e9
         # Against writing on a connection that the upstream closes as idle, which ends as a reset. The library
         # looks for idle ones only once in that time, so some stand for twice as long.
-        idle_s = IDLE_SHARE * settings.get("idle_ns", 15 * 10 ** 9) / 1e9
-        self.session = http.session(limit=0, keepalive_timeout=idle_s, socket_factory=self.socket)
+        self.idle_s = IDLE_SHARE * settings.get("idle_ns", 15 * 10 ** 9) / 1e9
+
+    def listed(self, upstream, dial, launched):
+        """Where it is. Against a kept connection leading to what stood at that address before: one that vanished
+        leaves connections that look sound, and what is sent on them is never answered."""
+        line = self.lines.get(upstream)
+        if line is None or (line.dial, line.launched) != (dial, launched):
+            self.dropped(upstream)
+            self.lines[upstream] = Line(dial, launched, http.session(
+                REST_S, limit=0, keepalive_timeout=self.idle_s, socket_factory=self.socket))
+
+    def dropped(self, upstream):
+        """It is gone, or elsewhere: no new dispatches; those out may still end well."""
+        line = self.lines.pop(upstream, None)
+        if line is not None:
+            line.dropped = True
+            self.part(line)
+
+    def part(self, line):
+        """The one place where the connections of a line are given back, when nothing is out on them any more."""
+        if line.dropped and not line.out:
+            task = self.core.loop.create_task(line.session.close())
+            self.closing.add(task)
+            task.add_done_callback(self.closing.discard)
 
     def socket(self, address):
         """Bounds all connections to upstreams, idle ones too, against their taking clients' descriptors."""
@@ -74,12 +104,13 @@
 
     async def carry(self, dispatch, for_ns, message):
         """The outcome and what was received; whatever is not surely unsent may have run."""
-        dial, begun = self.dials.get(dispatch.upstream), self.core.now()
+        line, begun = self.lines.get(dispatch.upstream), self.core.now()
         for_ns += dispatch.sent - begun
-        if dial is None or dispatch.upstream.state != model.READY or for_ns <= 0:
+        if line is None or dispatch.upstream.state != model.READY or for_ns <= 0:
             return model.MOOT, None     # told since it was chosen, or this program was late
+        line.out += 1
         try:
-            return await http.unspent(lambda: self.exchange(dial, message, begun + for_ns))
+            return await http.unspent(lambda: self.exchange(line, message, begun + for_ns))
         except http.UNSENT as problem:
             # Against taking an upstream for dead where this program has no socket left, or stood still.
             own = isinstance(problem.__cause__, http.Bound) or (
@@ -87,23 +118,30 @@
             return (model.MOOT if own else model.UNCONNECTED), None
         except TimeoutError:
             return model.TIMED_OUT, None
+        except http.SPOILT:
+            return model.SPOILT, None
         except http.BROKEN:
             return model.RESET, None
         except Exception:
-            self.log.exception("dispatch_fault", upstream=dial)
+            self.log.exception("dispatch_fault", upstream=line.dial)
             return model.RESET, None
+        finally:
+            line.out -= 1
+            self.part(line)
 
-    async def exchange(self, dial, message, ends):
+    async def exchange(self, line, message, ends):
         for_s = (ends - self.core.now()) / 1e9
         if for_s <= 0:
             raise TimeoutError
         headers = message.headers + [("X-Timeout-Ms", str(max(1, int(for_s * 1000))))]
-        async with self.session.request(
-                message.method, URL(f"http://{dial}{message.target}", encoded=True), headers=headers,
+        async with line.session.request(
+                message.method, URL(f"http://{line.dial}{message.target}", encoded=True), headers=headers,
                 data=message.body or None, allow_redirects=False,
                 timeout=http.limits(for_s, self.connect_s)) as response:
             body = await http.whole_body(response)
             if response.status == 200:
+                if not http.bounded(response):
+                    raise http.Spoilt("nothing tells where the answer ends")
                 return model.FULFILLED, Received(body, response.headers.get("Content-Type"))
             never_ran = response.status in (503, 504) and response.headers.get(NOT_PROCESSED) == "1"
             return (model.FULL if never_ran else model.ERROR), None
@@ -115,17 +153,22 @@
         self.counters.add("probes")
 
     async def ask(self, upstream, tell):
-        begun, outcome = self.core.now(), model.UNCONNECTED
+        begun, outcome, line = self.core.now(), model.UNCONNECTED, self.lines.get(upstream)
         try:
-            outcome = await http.unspent(lambda: self.ping(self.dials[upstream]))
-        except http.UNSENT + http.BROKEN + (KeyError, ValueError):
+            if line is not None:
+                line.out += 1
+                outcome = await http.unspent(lambda: self.ping(line))
+        except http.UNSENT + http.BROKEN + (ValueError,):
             pass
         finally:
+            if line is not None:
+                line.out -= 1
+                self.part(line)
             tell(upstream, outcome, self.core.now() - begun)
 
-    async def ping(self, dial):
-        async with self.session.get(
-                URL(f"http://{dial}/ping", encoded=True), allow_redirects=False,
+    async def ping(self, line):
+        async with line.session.get(
+                URL(f"http://{line.dial}/ping", encoded=True), allow_redirects=False,
                 timeout=http.limits(PROBE_CONNECTS * self.connect_s, self.connect_s)) as response:
             await http.whole_body(response)
             return model.FULFILLED if response.status == 200 else model.ERROR
@@ -135,4 +178,6 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self.session.close()
+        for upstream in list(self.lines):
+            self.dropped(upstream)
+        await asyncio.gather(*self.closing, return_exceptions=True)
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -8,7 +8,7 @@
 from zlib import crc32
 
 from pepperhook.model import (
-    CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, TIMED_OUT, UNCONNECTED,
+    CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, SPOILT, TIMED_OUT, UNCONNECTED,
     Clockwork, Dispatch, Missing, Stage, Sums, call, chain)
 
 MS, S = 1_000_000, 1_000_000_000
@@ -159,18 +159,20 @@
         if self.B <= 0 or self.overloaded(now) or not self.core.sender.repeatable(now, operation) or (
                 now + pick.usual(operation.grade) > operation.goal_at):
             return False
-        # Against quick errors of one upstream: its fellows can still serve what it failed, within the budget.
-        return self.core.chance() < (1 - self.f if dispatch.upstream.faulty else min(self.B, 1 - self.f))
+        # Against quick errors of one upstream, whose fellows can serve what it failed, and answers spoilt on the
+        # way back from any, which tell of no overload, as they came in time.
+        lone = dispatch.upstream.faulty or dispatch.outcome == SPOILT
+        return self.core.chance() < (1 - self.f if lone else min(self.B, 1 - self.f))
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
         if outcome not in (MOOT, CALLED_OFF):
             failed = outcome != FULFILLED
             self.refused.add(now, outcome == FULL)
-            self.grades[number] += 0.1 * (failed - self.grades[number])
+            self.grades[number] += 0.1 * ((failed and outcome != SPOILT) - self.grades[number])
             others = self.grades[:number] + self.grades[number + 1:]
-            # Against quick errors of one upstream, or one failing grade, halting retries for all.
-            if not dispatch.upstream.faulty and not (
+            # Against quick errors of one upstream, one failing grade or spoilt answers halting retries for all.
+            if not dispatch.upstream.faulty and outcome != SPOILT and not (
                     others and self.grades[number] > HIGH_F and max(others) < LOW_F):
                 self.f += 0.1 * (failed - self.f)
             open_still = failed and not operation.over and not operation.out
@@ -205,8 +207,7 @@
         return sum(known) / len(known) if len(known) * 2 > len(self.members) else None
 
     def listing(self, now, whole, rows):
-        if whole:
-            rows = [(u, GONE, u.launched) for u in self.listed] + rows
+        rows = [(u, GONE, u.launched) for u in self.listed if whole] + rows
         for upstream, state, launched in rows:
             if upstream.times is None:
                 self.forget(now, upstream)
@@ -371,9 +372,8 @@
             getattr(d.upstream, grade["group"]) == getattr(upstream, grade["group"]) for d in doubtful)
 
     def may(self, now, operation, upstream):
-        if operation.over or operation.streaming or now >= operation.not_after or upstream.state != READY:
-            return False
-        if operation.out and not self.settings.get("may_overlap") or self.core.discovery.silent(now):
+        if operation.over or operation.streaming or now >= operation.not_after or upstream.state != READY or (
+                operation.out and not self.settings.get("may_overlap")) or self.core.discovery.silent(now):
             return False
         if len(operation.dispatches) >= self.settings.get("most_dispatches", 1) or (
                 not self.repeatable(now, operation, upstream)):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -49,8 +49,8 @@
          (answer(504, more=b"X-Not-Processed: 1\r\n"), model.FULL),
          (answer(500, more=b"X-Not-Processed: 1\r\n"), model.ERROR),
          (answer(302, more=b"Location: /other\r\n"), model.ERROR), ((b"",), model.RESET),
-         ((answer()[:-2],), model.RESET), (b"no HTTP\r\n\r\n", model.RESET),
-         (answer(body=b"x" * 65537), model.RESET), (None, model.TIMED_OUT)]
+         ((answer()[:-2],), model.RESET), (b"no HTTP\r\n\r\n", model.SPOILT),
+         (answer(body=b"x" * 65537), model.SPOILT), (None, model.TIMED_OUT)]
 
 
 @pytest.mark.parametrize("said, outcome", CASES)
@@ -68,6 +68,59 @@
                 await asyncio.sleep(0.01)       # what is given up has its connection closed
 
 
+GOOD = answer(body=b"own")
+SPOILT = [(GOOD + b"\x00\xffnoise", model.FULFILLED), (GOOD + answer(body=b"other"), model.FULFILLED),
+          (b"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\n" + GOOD + b"x", model.FULFILLED),
+          (answer(body=b"own", more=b"X-Server-Load: \x01\xff;=\r\n"), model.FULFILLED),
+          (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n" + GOOD, model.FULFILLED),
+          (b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 9000, model.SPOILT),
+          (b"HTTP/1.1 200 X\r\nContent-Length: 30\r\n\r\nown", model.SPOILT),
+          (b"HTTP/1.1 200 X\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nown", model.SPOILT),
+          (b"HTTP/1.1 200 X\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nown", model.SPOILT),
+          (b"HTTP/1.1 200 X\r\n\r\nown", model.SPOILT), ((b"HTTP/1.1 200 X\r\n\r\nown",), model.SPOILT),
+          (b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nown\r\n0\r\n\r\n", model.SPOILT),
+          (b"HTTP/1.1 200 X\r\nA: b\r\nC:", model.SPOILT), (b"noise" + GOOD, model.SPOILT),
+          (b"HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n" + GOOD, model.ERROR)]
+
+
+@pytest.mark.parametrize("in_two", [False, True])
+@pytest.mark.parametrize("said, outcome", SPOILT)
+@loopback
+async def test_an_answer_is_what_was_made_for_the_message_and_whole_or_it_is_none(said, outcome, in_two):
+    # Against a good answer lost to what comes behind it, and against half of one holding its dispatch for long.
+    class Spoiling(Peer):
+        async def serve(self, reader, writer):
+            if in_two and isinstance(said, bytes):
+                self.seen.append(await read_message(reader))
+                cut = said.index(b"\r\n\r\n") + 3 if b"\r\n\r\n" in said else 30
+                writer.write(said[:cut])
+                await asyncio.sleep(0.02)
+                writer.write(said[cut:])
+            await super().serve(reader, writer)
+
+    async with Spoiling(lambda *_: said) as peer, Running([peer.dial]) as balancer:
+        status, body = await balancer.ask("/pay", b"POST", b"1")
+        counts = balancer.node.counters
+        assert counts[f"dispatches {outcome}"] == 1 == len(peer.seen)
+        assert (status, body) == (200, b"own") if outcome == model.FULFILLED else status == 500
+        while not peer.lost and said != SPOILT[3][0]:
+            await asyncio.sleep(0.01)       # the connection is of no further use
+
+
+@loopback
+async def test_a_new_upstream_at_the_address_of_a_gone_one_gets_connections_of_its_own():
+    # Against what vanished there holding the connection that looks sound, and the dispatches sent on it.
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        assert (await balancer.ask())[0] == 200 and (await balancer.ask())[0] == 200 and peer.connections == 1
+        new = {**hosts([peer.dial])[0], "host": "h9"}
+        for at, rows in enumerate(([new], [new], [{**new, "born_ms": 5}])):
+            balancer.node.discovery.take({"seq": at + 2, "whole": True, "hosts": rows})
+            assert (await balancer.ask())[0] == 200
+        while peer.lost < 2:
+            await asyncio.sleep(0.01)
+        assert peer.connections == 3
+
+
 @loopback
 async def test_an_upstream_that_refuses_never_ran():
     async with Peer(lambda *_: answer()) as peer:
@@ -306,7 +359,7 @@
         discovery.take({"seq": 3, "whole": False, "hosts": hosts([peer.dial], health="draining")})
         assert {u.address for u in pick.ring} == {b"h1"} and len(discovery.known) == 2
         discovery.take({"seq": 4, "whole": False, "hosts": hosts([peer.dial], health="gone")})
-        assert set(discovery.known) == {"h1"} and len(balancer.node.upstreams.dials) == 1
+        assert set(discovery.known) == {"h1"} and len(balancer.node.upstreams.lines) == 1
         discovery.take({"seq": 5, "whole": True, "hosts": hosts([peer.dial])})
         assert set(discovery.known) == {"h0"} and (await balancer.ask())[0] == 200
 
