--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -32,8 +32,9 @@
 
 def main():
     logger = log.start()
-    # Against a reload that is asked for before there is anything to reload ending the program.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Against being asked to reload or to tell before there is anything to, which would end the program.
+    for number in signal.SIGHUP, signal.SIGUSR1:
+        signal.signal(number, signal.SIG_IGN)
     try:
         told = config.read(os.environ)
     except config.Faulty as problem:
