--- a/pepperhook/net/clients.py
+++ b/pepperhook/net/clients.py
@@ -20,7 +20,6 @@
 MARGIN_NS = 25 * 10 ** 6    # of a time limit: for the way from and to the client, and for a busy core
 NEVER_S = 10 ** 6
 LATE = 3                # times that lateness meets a message: accepting, reading, and writing the answer
-LAST_S = 0.7            # before the time to leave is up, connections are closed after their answers
 PART_S = 0.1            # for what is still open when the time to leave is up
 
 
@@ -57,7 +56,7 @@
         self.grades, self.customers = config.names["grades"], config.names["customers"]
         self.settings, self.listen = config.settings, config.listen
         self.longest_s = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
-        self.leaving, self.last, self.address = False, None, None
+        self.leaving, self.address = False, None
         self.ids, self.untold, self.tell_at = Ids(self.longest_s, core.loop), 0, 0
         most, hard = bounds
         # Connections has times of its own: the library's knows no limit for a head or a body.
@@ -94,8 +93,6 @@
 
     async def handle(self, request):
         if request.path == "/_health" and request.method == "GET":
-            if self.last is not None:
-                return self.plain(503, "leaving\n")
             if self.discovery.ready:
                 return self.plain(200, "serving\n")
             return self.plain(503, "no list of upstreams yet\n")
@@ -194,8 +191,6 @@
         lost, request.protocol.waited_s = int(request.protocol.waited_s * 1e9), 0
         lost += min(limit // 2, MARGIN_NS) + LATE * self.core.late()
         not_after = self.core.now() + max(0, limit - lost)
-        if self.last is not None:
-            not_after = min(not_after, self.last)
         cost = whole(headers, "X-Cost")
         customer = self.customers.get(headers.get("X-Tenant-Id"))
         return model.Operation(headers["X-Request-ID"], grade, customer, None, not_after, cost * 1000 if cost else None,
@@ -217,15 +212,11 @@
         return web.Response(status=status, text=text)
 
     async def close(self, accept_s, within_s):
-        """Goes on accepting briefly, and serving on the connections there are nearly to the end; answers all that
-        was taken, and closes connections after their answers."""
-        ends, self.last = self.core.loop.time() + within_s, self.core.now() + int(within_s * 1e9) - MARGIN_NS
+        """Goes on accepting briefly, answers all that was taken, closes connections after their answers."""
+        self.leaving = True
         await asyncio.sleep(accept_s)
         self.server.stop()
-        # Against seconds without service for clients that have no other balancer, or not noticed this one leaving.
-        while self.server.count and self.core.loop.time() < ends - LAST_S:
-            await asyncio.sleep(0.01)
-        self.leaving = True
+        ends = self.core.loop.time() + within_s
         while self.server.count and self.core.loop.time() < ends:
             self.server.part_idle()
             await asyncio.sleep(0.01)
--- a/pepperhook/net/node.py
+++ b/pepperhook/net/node.py
@@ -72,7 +72,7 @@
 
     async def leave(self, accept_s=ACCEPT_S):
         self.log.info("leaving", under_way=len(self.operations.tasks))
-        await self.clients.close(accept_s, self.clients.longest_s + LEAVE_S)
+        await self.clients.close(accept_s, self.clients.longest_s + LEAVE_S - accept_s)
         await self.operations.close()
         self.core.close()
         await self.discovery.close()
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -159,21 +159,21 @@
         if self.B <= 0 or self.overloaded(now) or not self.core.sender.repeatable(now, operation) or (
                 now + pick.usual(operation.grade) > operation.goal_at):
             return False
-        # Against quick errors of one upstream, whose fellows can serve what it failed, and answers spoilt on the
-        # way back from any, which tell of no overload, as they came in time.
-        lone = dispatch.upstream.faulty or dispatch.outcome == SPOILT
-        return self.core.chance() < (1 - self.f if lone else min(self.B, 1 - self.f))
+        return self.core.chance() < (1 - self.f if self.lone(dispatch) else min(self.B, 1 - self.f))
+
+    def lone(self, dispatch):
+        # Against quick failures of one upstream with sound fellows, or spoilt answers, taken for overload.
+        return dispatch.upstream.faulty or dispatch.outcome == SPOILT
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
         if outcome not in (MOOT, CALLED_OFF):
-            failed = outcome != FULFILLED
-            self.refused.add(now, outcome == FULL)
+            failed, lone = outcome != FULFILLED, self.lone(dispatch)
+            self.refused.add(now, outcome == FULL and not lone)
             self.grades[number] += 0.1 * ((failed and outcome != SPOILT) - self.grades[number])
             others = self.grades[:number] + self.grades[number + 1:]
-            # Against quick errors of one upstream, one failing grade or spoilt answers halting retries for all.
-            if not dispatch.upstream.faulty and outcome != SPOILT and not (
-                    others and self.grades[number] > HIGH_F and max(others) < LOW_F):
+            # Against one failing grade halting retries for all.
+            if not lone and not (others and self.grades[number] > HIGH_F and max(others) < LOW_F):
                 self.f += 0.1 * (failed - self.f)
             open_still = failed and not operation.over and not operation.out
             if open_still and self.granted(now, dispatch) and self.take(now, operation):
@@ -309,13 +309,14 @@
             # Against all balancers reaching beyond their slices at once: want of room is no reason to.
             if usable:
                 break
-        fit = [u for u in usable if self.room(now, u)]
-        pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))
-        heft = self.heft(operation)
+        fit, heft = [u for u in usable if self.room(now, u)], self.heft(operation)
         # Against a heavy one, dear by its work, on one too slow to do it in time: the quickest of all.
-        pair = pair if heft > HEAVY else pair[:2]
+        pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[
+            :None if heft > HEAVY else 2]
+        # Against quick failures looking idle and so drawing all: each counts as one out for a while.
+        out = {u: len(u.pending) + u.faults.fade(now).total for u in pair}
         return bool(pair) and self.inner.send(now, operation, min(pair, key=lambda u: (
-            (len(u.pending) + heft) * u.slow if heft > HEAVY else len(u.pending), u.slow)))
+            (out[u] + heft) * u.slow if heft > HEAVY else out[u], u.slow)))
 
     def ended(self, now, dispatch):
         upstream, grade, outcome = dispatch.upstream, dispatch.operation.grade, dispatch.outcome
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -195,6 +195,26 @@
     assert world.balancer.budget.f < policy.HIGH_F and world.balancer.budget.B > 0.1
 
 
+def test_one_upstream_that_turns_all_away_is_no_overload_and_soon_passed_over():
+    # Against one that drains before the list tells: its refusals halted the retries that its fellows could serve.
+    got = asked = 0
+    for seed in range(20, 26):
+        world = World(seed, balancers=1)
+        bad = world.balancer.pick.members[0]
+        world.span = lambda dispatch: 2 * MS if dispatch.upstream is bad else 60 * MS
+        world.fate = lambda dispatch: model.FULFILLED
+        world.run(1500, chance=0.2)
+        world.fate = lambda dispatch: model.FULL if dispatch.upstream is bad else model.FULFILLED
+        since, before = len(world.taken), len(world.sends)
+        world.run(1500, chance=0.2)
+        assert not world.balancer.budget.overloaded(world.now)
+        ends = [world.answered.get(o) for o in world.taken[since:-20]]
+        asked, got = asked + len(ends), got + ends.count("fulfilled")
+        late = world.sends[before + 150:]
+        assert sum(d.upstream is bad for _, d in late) < 0.08 * len(late)
+    assert got > 0.96 * asked
+
+
 def test_a_hung_upstream_is_passed_over_and_a_slow_fleet_blames_nobody():
     world = World(9)
     hung = world.balancer.pick.members[0]
