--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -8,7 +8,7 @@
 
 STATES = {"ready": model.READY, "draining": model.DRAINING, "gone": model.GONE}
 ASK_S = 1.5             # longest an answer may take beyond the wait that was asked for
-MOVED_S, AGAIN_S = 3, 0.4       # after a move a failed ask is followed by others, at half to one and a half of that
+MOVED_S, AGAIN_S = 8, 0.4       # after a move a failed ask is followed by others, at half to one and a half of that
 LONGEST_WAIT_S = 20
 EARLY_S, PAUSE_S = 0.05, 0.1    # an answer with no news that comes this soon is followed by a pause
 MOST_LIST = 4 * 1024 * 1024
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -8,8 +8,8 @@
 from zlib import crc32
 
 from pepperhook.model import (
-    CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RETRIABLE, SPOILT, TIMED_OUT, UNCONNECTED,
-    Clockwork, Dispatch, Missing, Stage, Sums, call, chain)
+    CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RESET, RETRIABLE, SPOILT, TIMED_OUT,
+    UNCONNECTED, Clockwork, Dispatch, Missing, Stage, Sums, call, chain)
 
 MS, S = 1_000_000, 1_000_000_000
 REVIEW = 200 * MS           # how often upstreams are judged afresh
@@ -162,8 +162,8 @@
         return self.core.chance() < (1 - self.f if self.lone(dispatch) else min(self.B, 1 - self.f))
 
     def lone(self, dispatch):
-        # Against quick failures of one upstream with sound fellows, or spoilt answers, taken for overload.
-        return dispatch.upstream.faulty or dispatch.outcome == SPOILT
+        # Against failures of one upstream with sound fellows, or answers lost on the way, taken for overload.
+        return dispatch.upstream.faulty or dispatch.outcome in (SPOILT, RESET, UNCONNECTED)
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -74,18 +74,20 @@
     assert world.now - begun == 2 * S
 
 
-def test_answers_spoilt_by_any_upstream_are_asked_for_again_within_the_budget():
+@pytest.mark.parametrize("lost", [model.SPOILT, model.RESET])
+def test_what_is_lost_on_the_way_at_any_upstream_is_asked_for_again_within_the_budget(lost):
     # Against one in ten failing for good although all upstreams are sound: they halted retries for each other.
     asked = got = 0
     for seed in range(17, 21):
         world = World(seed, balancers=1)
-        world.fate = lambda dispatch: model.SPOILT if world.random.random() < 0.1 else model.FULFILLED
+        world.fate = lambda dispatch: lost if world.random.random() < 0.1 else model.FULFILLED
         world.run(6000, chance=0.1)
         ends = [world.answered.get(o) for o in world.taken if o.grade["effect"] == model.RETRIABLE]
         asked, got = asked + len(ends), got + ends.count("fulfilled")
         assert world.balancer.budget.f < policy.LOW_F
         assert 0 < sum(1 for _, d in world.sends if d.number) < policy.B0 * len(world.taken)
-        assert not any(d.number for _, d in world.sends if d.operation.grade["effect"] == model.BINDING)
+        assert not any(
+            d.number for _, d in world.sends if d.operation.grade["effect"] == model.BINDING)
     assert got > 0.95 * asked, "with nine in ten at the first try, and one repeat in five, it was 0.90"
 
 
