--- a/pepperhook/net/connections.py
+++ b/pepperhook/net/connections.py
@@ -144,7 +144,8 @@
         self.busy.discard(handler)
         self.lingering.add(handler)
         try:
-            if handler.transport is not None:
+            # Not where room is short: one that comes back at once would take it by being turned away.
+            if handler.transport is not None and not self.full:
                 handler.transport.pause_reading()
                 with suppress(OSError):
                     handler.transport.write_eof()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -316,6 +316,19 @@
         assert balancer.node.counters["not taken"] >= 4 and (await balancer.ask())[0] == 200
 
 
+@loopback
+async def test_being_turned_away_takes_no_room_where_it_is_short():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial]) as balancer:
+        server = balancer.node.clients.server
+        server.most = 1
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection("127.0.0.1", balancer.port)
+            writer.write(b"no HTTP\r\n\r\n")
+            assert (await balancer.answer(reader))[0] == 400 and await reader.read() == b""
+            assert not server.lingering and not server.busy
+            writer.close()
+
+
 @loopback
 async def test_books_end_empty_after_many_new_ids_keys_customers_and_upstreams():
     chance = random.Random(8)
