--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -91,6 +91,21 @@
     assert got > 0.95 * asked, "with nine in ten at the first try, and one repeat in five, it was 0.90"
 
 
+def test_what_a_dead_upstream_never_took_goes_to_its_fellows():
+    # Against the first failed connects, before it is known dead, failing four operations in five for good.
+    met = []
+    for seed in range(40, 80):
+        world = World(seed, balancers=1)
+        world.fate = lambda dispatch: model.FULFILLED
+        world.run(300, chance=0.2)
+        dead = world.balancer.pick.members[0]
+        world.fate = lambda dispatch: model.UNCONNECTED if dispatch.upstream is dead else model.FULFILLED
+        world.run(300, chance=0.2)
+        met += [world.answered.get(o) for o in world.taken if o.dispatches and (
+            o.dispatches[0].outcome == model.UNCONNECTED and world.now > o.taken + S // 2)]
+    assert len(met) > 20 and met.count("fulfilled") > 0.8 * len(met)
+
+
 def test_a_judged_upstream_has_little_room_even_if_idle():
     world = World(13)
     judged = world.balancer.pick.members[0]
