--- a/pepperhook/lab/discovery.py
+++ b/pepperhook/lab/discovery.py
@@ -143,6 +143,8 @@
     async def serve(self, reader, writer, tier, caller, moved):
         self.writers.add(writer)
         messages = wire.Messages()
+        if self.down:
+            self.book.add(events.Asked(tier, caller, time.monotonic_ns(), False, False))
         try:
             while not self.down:
                 data = await reader.read(65536)
--- a/pepperhook/lab/events.py
+++ b/pepperhook/lab/events.py
@@ -13,7 +13,7 @@
     """One sending of an operation by a client, or by an upstream to the tier behind it."""
 
     tier: int
-    caller: int             # which balancer it went to; -1: by the front
+    caller: int             # which balancer it went to; -1: to none, or nobody knows
     id: str
     first: str              # the id of the first try of the same wish
     number: int             # 0 for a first try
--- a/pepperhook/lab/upstream.py
+++ b/pepperhook/lab/upstream.py
@@ -119,6 +119,8 @@
     async def up(self, cold=False):
         self.machine = machine.Machine(self.spec, self.now(), cold)
         self.down = self.draining = False
+        if cold:
+            self.happened("up cold")
         told, last = self.day.tiers[self.tier], self.tier + 1 == len(self.day.tiers)
         if self.pool is None and told.calls and (not last or told.circle):
             address = self.stage.plan.balancer(0, 0) if last else self.stage.plan.balancer(self.tier + 1, self.number)
--- a/pepperhook/lab/wire.py
+++ b/pepperhook/lab/wire.py
@@ -193,6 +193,7 @@
             if address is None:
                 raise OSError("nobody is there")
             _, link = await asyncio.wait_for(self.loop.create_connection(lambda: make(self), *address), CONNECT_S)
+            link.address = address
             return link
         except (OSError, TimeoutError) as problem:
             if not exchange.over:
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -328,6 +328,16 @@
     assert sums["probe_waits"] == 3 and sums["probe_wait_spread"] > 0.3
 
 
+def test_what_cold_ones_are_sent_is_told_beside_what_their_fellows_are():
+    def sent(upstream, *seconds):
+        return [work(at=int(at * 1000), identity=f"{upstream}-{at}", upstream=upstream) for at in seconds]
+    rows = [events.Happened(2 * S, "crash", 0, 0), events.Happened(5 * S, "up cold", 0, 0), events.Happened(3 * S, "crash", 0, 3),
+            *sent(0, 1, 1.5, 5.5, 8.9, 9.5), *sent(1, 5.1, 5.2, 6, 7, 8.5, 20), *sent(2, 4.9, 5.1, 8, 8.1, 9.1), *sent(3, 1, 2)]
+    cold = audit.Auditor(day(), rows, 0).judge().figures["cold"]
+    # Two in the four seconds from its start, for the mean of five and three; the third fellow is away itself.
+    assert cold == {"starts": 1, "sent": 2, "to_a_fellow": 4.0, "share": 0.5}
+
+
 def test_the_worst_wait_for_a_core_is_between_two_looks(tmp_path, monkeypatch):
     import builtins
     import io
