--- a/pepperhook/lab/proofs/auditor.py
+++ b/pepperhook/lab/proofs/auditor.py
@@ -20,8 +20,7 @@
               "window-forgotten": "the decisions repeat a fingerprinted operation after its window",
               "group-forgotten": "the decisions repeat a fingerprinted operation outside of its group",
               "sheds-all": "the decisions shed what may have run",
-              "drains-unheeded": "the decisions take an upstream that drains for ready",
-              "cold-unheeded": "the decisions hold nothing to be cold"}
+              "drains-unheeded": "the decisions take an upstream that drains for ready"}
     BLIND = {"deaf": ("answered twice",), "patient": ("late",), "trusting": ("invented",)}
 
     def run(self):
--- a/pepperhook/lab/proofs/mass.py
+++ b/pepperhook/lab/proofs/mass.py
@@ -24,7 +24,8 @@
     all balancers together ask of upstreams and of the list stays small."""
 
     name = "mass"
-    plants = {"cold-alone": "the decisions reckon a cold upstream's allowance as if one balancer were its only caller",
+    plants = {"cold-unheeded": "the decisions hold nothing to be cold",
+              "cold-alone": "the decisions reckon a cold upstream's allowance as if one balancer were its only caller",
               "probes-unspread": "the decisions leave chance out of the waits between probes",
               "list-hasty": "the decisions ask for a list that can't be had again at once",
               "drains-unheeded": "the decisions take an upstream that drains for ready",
