Rings can be asked for by the command line; what tracing costs is measured by captures

Need: an operator who has no signals at hand wants 'pepperhook record keep PID', and a wrong process must not be ended by it; the cost of tracing to the decisions was not measured.

Change: keep looks at the command line and at whether the signal is caught before it sends it. lab trace-cost plays a capture's calls with tracing off, sampled, whole and with another revision's module, in turn. A test kills a writer while it rotates.

The costs follow when the cores are free.

--- a/pepperhook/cli/lab.py
+++ b/pepperhook/cli/lab.py
@@ -104,6 +104,29 @@
     sys.exit(0 if told["holds"] else 1)
 
 
+@lab.command(name="trace-cost")
+@click.argument("capture", type=click.Path())
+@click.option("--revision", help="The module of this revision beside it.")
+@click.option("--rounds", default=7, type=click.IntRange(1, 100))
+@JSON
+def trace_cost(capture, revision, rounds, as_json):
+    """What tracing costs the decisions: a capture's calls with tracing off, sampled and whole, in turn."""
+    from pepperhook.lab import tracecost
+    from pepperhook.record.container import Unreadable
+    from pepperhook.record.state import Refused
+    try:
+        with progress(as_json) as tell:
+            told = tracecost.measure(capture, revision, rounds, tell)
+    except (Unreadable, Refused) as problem:
+        raise Input(str(problem)) from None
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    click.echo(f"{told['operations']} operations, {told['rounds']} rounds, microseconds of the processor an operation")
+    for name, row in told["us_an_operation"].items():
+        click.echo(f"    {name}: least {row['least']}, median {row['median']}")
+
+
 def experiment_at(path):
     from pepperhook.lab import experiment
     try:
--- a/pepperhook/cli/record.py
+++ b/pepperhook/cli/record.py
@@ -82,3 +82,27 @@
             for line in found.led:
                 click.echo(f"      led by: {line}")
     sys.exit(1 if differ else 0)
+
+
+@record.command()
+@click.argument("pids", nargs=-1, required=True, type=click.IntRange(2))
+def keep(pids):
+    """Ask balancers on this machine to keep what their rings hold, captures and traces (SIGUSR2)."""
+    import os
+    import signal
+    for pid in pids:
+        try:
+            with open(f"/proc/{pid}/cmdline", "rb") as file:
+                words = file.read().split(b"\0")
+        except OSError:
+            raise Input(f"{pid}: there is no such process") from None
+        # Any other program would be ended by the signal, and so would a balancer without a ring.
+        with open(f"/proc/{pid}/status", encoding="ascii") as file:
+            caught = next((int(line.split()[1], 16) for line in file if line.startswith("SigCgt")), 0)
+        if not any(b"pepperhook" in word for word in words) or not caught >> (signal.SIGUSR2 - 1) & 1:
+            raise Input(f"{pid}: is no balancer that captures or traces")
+        try:
+            os.kill(pid, signal.SIGUSR2)
+        except OSError as problem:
+            raise click.ClickException(f"{pid}: {problem.strerror}") from None
+        click.echo(f"{pid}: asked; its log says record_kept when it is done")
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,6 +6,8 @@
 import os
 import random
 import re
+import subprocess
+import sys
 import tempfile
 import time
 import tracemalloc
@@ -526,3 +528,51 @@
         made = operator.build(str(tmp_path / "op.toml"), told(), Log(logging.getLogger("test")))
         with pytest.raises(ValueError, match="trace.folder"):
             made.hold[0]()
+
+
+def test_a_writer_killed_while_it_rotates_leaves_every_whole_block(tmp_path):
+    code = f"""
+import os, sys
+from pepperhook.record import trace
+from pepperhook.record.container import About
+from pepperhook.record.ring import Ring
+from tests.test_trace import life
+ring = Ring({str(tmp_path)!r}, "b0", "trc", 60, 64, None)
+ring.begin()
+number = 0
+while True:
+    ring.open(About("trace", 1, "b0"))
+    for _ in range(20):
+        row = life(number)
+        ring.queue.put(("records", trace.encoded(row), row.taken, trace.keys(row)))
+        ring.queue.put(("flush",))
+        number += 1
+    if number == 400:
+        print("going", flush=True)
+"""
+    process = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=Path(__file__).parents[1])
+    process.stdout.readline()
+    process.kill()
+    process.wait()
+    process.stdout.close()
+    files, numbers = sorted(tmp_path.glob("*.trc")), []
+    for path in files:
+        try:
+            numbers += [int(row.id[2:]) for row in all_of(path)]
+        except Unreadable as problem:
+            # Only the newest may have been killed before its first block was whole.
+            assert path == files[-1], problem
+    assert numbers == list(range(len(numbers))) and len(numbers) > 100
+
+
+def test_only_balancers_with_a_ring_are_asked_to_keep(tmp_path):
+    run = CliRunner()
+    for pid, why in ((os.getpid(), "is no balancer"), (2 ** 22 + 1, "no such process")):
+        said = run.invoke(main, ["record", "keep", str(pid)])
+        assert said.exit_code == 2 and why in said.output
+    code = "import signal, sys; signal.signal(signal.SIGUSR2, lambda *_: sys.exit(7)); print(1, flush=True); signal.pause()"
+    process = subprocess.Popen([sys.executable, "-c", code, "pepperhook"], stdout=subprocess.PIPE)
+    process.stdout.readline()
+    said = run.invoke(main, ["record", "keep", str(process.pid)])
+    assert said.exit_code == 0 and process.wait(30) == 7
+    process.stdout.close()
