Streamed configuration: signed versions, checks before harm, staged rollouts

Need: weights and grades are changed on balancers one by one and drift apart; a version that is valid by itself may still do harm.

Change: package control: whole documents as numbered, signed versions in sqlite3; a stream of frames with merge patches; checks by the service and by each balancer from what it sees; staged rollouts by counts with their error that go back as a version of their own; leases and places; the module is told by a call that captures replay through, and compares what is out for an operator's weight. Proof control.

--- a/pepperhook/lab/planted.py
+++ b/pepperhook/lab/planted.py
@@ -334,7 +334,51 @@
     tools.offsets = lambda names, bounds: {name: clocks.Offset(name, 0, 0) for name in names}
 
 
-FAULTS = {"reason-of-another": reason_of_another, "pseudonym-left-out": pseudonym_left_out,
+# In the control of versions.
+
+def applied_before_checked():
+    """A version is applied, and then looked at."""
+    from pepperhook.control import part
+    from pepperhook.control.document import decoded
+    plain = part.Control.take
+
+    def take(self, version):
+        if version.number > self.number:
+            before = self.running
+            self.apply(version, decoded(version.document))
+            self.log.info("version_applied", version=version.number)
+            self.running = before
+        plain(self, version)
+    part.Control.take = take
+
+
+def checks_deaf():
+    """No version is found to do harm."""
+    from pepperhook.control import decide
+    decide.of_balancer = lambda told, seen: []
+
+
+def half_version():
+    """What came of a version counts as all of it, and no checksum is looked at."""
+    import msgspec
+
+    from pepperhook.control import frames
+
+    def whole(self):
+        data, self.begin, self.parts = b"".join(self.parts), None, []
+        return msgspec.json.decode(data, type=frames.Version)
+    frames.Reader.whole = whole
+    frames.crc32 = lambda body: 0
+
+
+def lease_forever():
+    """Who was there once is there for ever."""
+    from pepperhook.control import members
+    members.Members.expire = lambda self, now: []
+
+
+FAULTS = {"applied-before-checked": applied_before_checked, "checks-deaf": checks_deaf, "half-version": half_version,
+          "lease-forever": lease_forever, "reason-of-another": reason_of_another, "pseudonym-left-out": pseudonym_left_out,
           "clocks-unmended": clocks_unmended, "repeats-all": repeats_all, "window-forgotten": window_forgotten, "group-forgotten": group_forgotten,
           "sheds-all": sheds_all, "lost-never-ran": lost_never_ran, "drains-unheeded": drains_unheeded,
           "cold-unheeded": cold_unheeded, "cold-alone": cold_alone, "granted-always": granted_always,
--- a/pepperhook/lab/proofs/__init__.py
+++ b/pepperhook/lab/proofs/__init__.py
@@ -3,6 +3,7 @@
 from pepperhook.lab.proofs.amplification import AmplificationProof
 from pepperhook.lab.proofs.auditor import AuditorProof
 from pepperhook.lab.proofs.chain import ChainProof
+from pepperhook.lab.proofs.control import ControlProof
 from pepperhook.lab.proofs.customers import NoisyCustomerProof
 from pepperhook.lab.proofs.h2 import H2Proof
 from pepperhook.lab.proofs.mass import MassProof
@@ -11,4 +12,5 @@
 from pepperhook.lab.proofs.trace import TraceProof
 
 PROOFS = {proof.name: proof for proof in (AuditorProof, AmplificationProof, NoisyCustomerProof, ChainProof, H2Proof,
-                                         RepeatsProof, ReplayProof, TraceProof, MassProof)}
+                                         RepeatsProof, ReplayProof, TraceProof, MassProof,
+                                         ControlProof)}
--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -27,6 +27,8 @@
     left(now, operation)                          the client is gone, nothing is owed
     probed(now, upstream, outcome, took, report)  the end of a probe
     heard(now, peer, body)                        a peer's message
+    retold(now, settings, weights)                other settings from now on, with the same grades and customers in the same order,
+                                                  and rows of (upstream, operators' weight); what was taken keeps its grade
     wake(now)                                     a wake-up; early, late and doubled ones do no harm
 
 ``settings`` is a plain map of names to values, times in nanoseconds under names that end in ``_ns``.
@@ -96,6 +98,7 @@
         self.level, self.level_at = 0.0, 0      # mean of what is out
         self.faulty = False         # failing while its fellows do not
         self.slow, self.near = 1.0, 1.0
+        self.told = 1.0             # times its chance to be drawn, by operators' word
         self.dark_since = None      # when it was found dead or mute
         self.probing = False
         self.probe_after = 0
--- a/pepperhook/net/discovery.py
+++ b/pepperhook/net/discovery.py
@@ -119,6 +119,8 @@
                 setattr(upstream, name, value)
             self.upstreams.listed(upstream, dial, launched, protocol)
             rows.append((upstream, state, launched))
+        for hook in self.parts.lists:
+            rows = hook(rows)
         self.core.tell(self.core.module.listing, whole, rows)
         self.version = version
         for host, upstream in list(self.known.items()):
--- a/pepperhook/net/doors.py
+++ b/pepperhook/net/doors.py
@@ -52,8 +52,14 @@
         self.core, self.log, self.counters = core, log, counters
         self.operations, self.discovery, self.reads = operations, discovery, parts.reads
         self.grades, self.customers, self.settings = config.names["grades"], config.names["customers"], config.settings
-        self.longest_s = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
-        self.ids, self.untold, self.tell_at = Ids(self.longest_s, core.loop), 0, 0
+        self.longest_s = 0.0
+        self.ids, self.untold, self.tell_at = Ids(0.0, core.loop), 0, 0
+        self.again()
+
+    def again(self):
+        """The settings have changed: what was taken under a longer limit still has that."""
+        longest = max(grade["limit_ns"] for grade in self.settings["grades"]) / 1e9
+        self.longest_s = self.ids.for_s = max(self.longest_s, longest)
 
     def health(self):
         """Status and text for whoever asks whether operations may come."""
--- a/pepperhook/net/parts.py
+++ b/pepperhook/net/parts.py
@@ -15,6 +15,8 @@
     hold()                              before the start: takes what only one process may have; ValueError where it can't
     born(node, module, now)             the decision module was made, and nothing has been told to it; what stands in its place
                                         from now on, the module itself or one that passes all calls on to it
+    lists(rows)                         news of the list as they are told to the decisions: rows of (upstream, state, launched), which
+                                        it gives back, the states changed where it knows better
     listed(now, upstreams)              the list of upstreams has changed
     started(node)                       the balancer is up, before it takes operations
     async closing(accept_s, within_s)   it was told to leave: what the part takes by a front of its own is answered
@@ -25,7 +27,7 @@
 address in message.peer; ``reads_back`` of answers, which come in received.told. Each name has all its values, as they came.
 """
 
-POINTS = ("born", "arrived", "dispatching", "ended", "answered", "leaving", "over", "hold", "listed", "started", "closing", "left", "told")
+POINTS = ("born", "arrived", "dispatching", "ended", "answered", "leaving", "over", "hold", "lists", "listed", "started", "closing", "left", "told")
 
 
 class Parts:
--- a/pepperhook/operator/__init__.py
+++ b/pepperhook/operator/__init__.py
@@ -37,6 +37,10 @@
             # Round the recorder: what is captured is what the module itself is told.
             from pepperhook.record.tracing import Traces
             parts.append(Traces(file.trace, told, log))
+        if file.control is not None:
+            from pepperhook.control.part import Control
+            parts.append(Control(file.control, told, log, [
+                (name, part) for name, part in (("customers", next((p for p in parts if type(p).__name__ == "Quotas"), None)),) if part]))
     except ValueError as problem:
         raise config.Faulty(f"{path}: {problem}") from None
     log.info("operator_file", path=path, parts=",".join(
--- a/pepperhook/operator/schema.py
+++ b/pepperhook/operator/schema.py
@@ -102,6 +102,15 @@
             usable(self.parent)
 
 
+class Control(Struct, forbid_unknown_fields=True, kw_only=True):
+    """Versions of the configuration streamed from a control service."""
+
+    address: Annotated[str, Meta(pattern="^[^:/ ]+:[0-9]+$")]   # HOST:PORT of the service
+    keys: Annotated[list[Key], Meta(min_length=1)]      # the first signs what it says, all are believed
+    state: str | None = None        # file for the last good version; without it a restart waits for the service
+    place: bool = False             # number and place among the tier's balancers are those that hold leases
+
+
 class Operator(Struct, forbid_unknown_fields=True, kw_only=True):
     version: Literal[1]
     customers: Customers | None = field(default=None)
@@ -109,4 +118,5 @@
     repeats: Repeats | None = field(default=None)
     record: Record | None = field(default=None)
     trace: Trace | None = field(default=None)
+    control: Control | None = field(default=None)
     h2: H2 | None = field(default=None)
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -274,7 +274,8 @@
             # Against one of which little is known yet being held slow for that.
             high = (high * upstream.times.weight + middle * 2) / (upstream.times.weight + 2)
             upstream.slow = high * (1 + 4 * fault)
-            upstream.near = 1.0 if upstream.zone == self.settings.get("zone", upstream.zone) else AWAY
+            upstream.near = upstream.told if upstream.zone == self.settings.get("zone", upstream.zone) else (
+                AWAY * upstream.told)
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
             upstream.weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
             if upstream.dark_since is not None:
@@ -330,7 +331,7 @@
         pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[
             :None if heft > HEAVY else 2]
         # Against quick failures looking idle and so drawing all: each counts as one out for a while.
-        out = {u: len(u.pending) + u.faults.fade(now).total for u in pair}
+        out = {u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
         chosen = min(pair, default=None, key=lambda u: (
             (out[u] + heft) * u.slow if heft > HEAVY else out[u], u.slow))
         if self.core.notes is not None:
@@ -511,6 +512,16 @@
         if upstream.times is not None:
             self.pick.probed(now, upstream, outcome)
 
+    @call
+    def retold(self, now, settings, weights):
+        self.settings.clear()
+        self.settings.update(settings)
+        self.balancers = max(1, settings.get("balancers", 1))
+        self.index = settings.get("me", 0) % self.balancers
+        for upstream, weight in weights:
+            upstream.told = weight
+        self.pick.review(now)
+
     @call
     def heard(self, now, peer, body):
         """Peers tell nothing that is acted on."""
--- a/pepperhook/quotas/part.py
+++ b/pepperhook/quotas/part.py
@@ -17,6 +17,7 @@
                 raise ValueError(f"customers.each.{name}: the settings know no such customer; they know: {known}")
         rows = [told.each.get(name, told.default) for name in sorted(customers, key=customers.get)]
         part = 1 / max(1, config.settings.get("balancers", 1)) if told.of == "fleet" else 1.0
+        self.start, self.config = told, config
         self.names, self.spread = sorted(customers, key=customers.get), told.spread
         self.limits = Limits([quota and (quota.per_second, quota.burst) for quota in rows],
                              told.unknown and (told.unknown.per_second, told.unknown.burst), part)
@@ -25,6 +26,12 @@
         # Its own chance: drawn from the module's, a limit would change what that decides.
         self.seed, self.counter = config.seed, 0
 
+    def again(self, told):
+        """Other limits from now on; None: those of the start. Buckets begin full, as after a start. Raises ValueError."""
+        start, counter = self.start, self.counter
+        self.__init__(told or start, self.config)
+        self.start, self.counter = start, counter
+
     def chance(self):
         self.counter += 1
         return crc32(b"%d" % crc32(b"quotas %d %d" % (self.seed, self.counter))) / 2 ** 32
--- a/pepperhook/record/capture.py
+++ b/pepperhook/record/capture.py
@@ -15,7 +15,7 @@
 from pepperhook.record import state
 from pepperhook.record.container import framed
 
-CALLS = ("listing", "listing_failed", "take", "started", "ended", "left", "probed", "heard", "wake")
+CALLS = ("listing", "listing_failed", "take", "started", "ended", "left", "probed", "heard", "retold", "wake")
 ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -84,7 +84,7 @@
     ``write(record, now, about)`` gets each framed record, its time, and the operation that it is about or None."""
 
     def __init__(self, module, settings, seed, now, write, mid_life=False):
-        self.__dict__.update(module=module, settings_=settings, write=write, numbers=Numbers(), recorded=0)
+        self.__dict__.update(module=module, write=write, numbers=Numbers(), recorded=0)
         if mid_life:
             # What it knows already are objects of the host's, too, and will be named by it.
             known = state.find(module, ("Operation", "Dispatch", "Upstream"))
@@ -121,12 +121,14 @@
             told = [whole, [[numbers.upstream(u, self.tell), health, launched] for u, health, launched in rows]]
         elif name in ("take", "left"):
             operation = about[0]
-            told = [numbers.operation(operation, self.tell, self.settings_["grades"])]
+            told = [numbers.operation(operation, self.tell, self.module.settings["grades"])]
         elif name in ("started", "ended"):
             operation = about[0].operation
             told = [numbers.dispatch(about[0]), *about[1:]]
         elif name == "probed":
             told = [numbers.upstream(about[0], self.tell), *about[1:]]
+        elif name == "retold":
+            told = [about[0], [[numbers.upstream(u, self.tell), weight] for u, weight in about[1]]]
         else:
             told = list(about)
         fault, results = None, ()
--- a/pepperhook/record/replay.py
+++ b/pepperhook/record/replay.py
@@ -144,6 +144,8 @@
             operation = about[0].operation
         elif name == "probed":
             about[0] = self.upstreams[told[0]]
+        elif name == "retold":
+            about[1] = [(self.upstreams[u], weight) for u, weight in told[1]]
         fault = None
         if self.watch is not None:
             self.module.out = self.watch
--- a/pepperhook/record/trace.py
+++ b/pepperhook/record/trace.py
@@ -21,7 +21,7 @@
 CONTENT = 1                 # version of a trace's records
 US = 1000
 MOST_STEPS = 64             # kept of one life; more are counted in ``cut``
-CALLS = ("listing", "listing_failed", "take", "started", "ended", "left", "probed", "heard", "wake")
+CALLS = ("listing", "listing_failed", "take", "started", "ended", "left", "probed", "heard", "retold", "wake")
 ENCODER = msgspec.msgpack.Encoder()
 SERVED, SHED, BROKEN, LEFT, OPEN = "fulfilled", "shed", "broken off", "left", "open"
 
--- a/pepperhook/tomlfile.py
+++ b/pepperhook/tomlfile.py
@@ -41,7 +41,36 @@
     try:
         return msgspec.convert(told, kind)
     except msgspec.ValidationError as problem:
-        raise Faulty(explain(str(problem), told, kind, path, text)) from None
+        raise Faulty(explain(named(str(problem), told, kind), told, kind, path, text)) from None
+
+
+def named(problem, told, kind):
+    """The problem with the key in a table of free keys, which the library leaves out: the first that alone is wrong, too."""
+    found = WHERE.search(problem)
+    before, dots, after = found[1].partition("[...]") if found else ("", "", "")
+    steps = [name if name else int(number) for name, number in STEP.findall(before)]
+    table = told
+    for step in steps:
+        table = table[step]
+    if not dots or not isinstance(table, dict):
+        return problem
+    for key, value in list(table.items()):
+        trial = alone(told, steps, {key: value})
+        try:
+            msgspec.convert(trial, kind)
+        except msgspec.ValidationError as again:
+            if WHERE.sub("", str(again)) == WHERE.sub("", problem):
+                return named(WHERE.sub(lambda _: f" - at `${before}.{key}{after}`", problem), told, kind)
+    return problem
+
+
+def alone(told, steps, value):
+    """A copy of a tree in which ``value`` stands at ``steps``."""
+    if not steps:
+        return value
+    made = dict(told) if isinstance(told, dict) else list(told)
+    made[steps[0]] = alone(told[steps[0]], steps[1:], value)
+    return made
 
 
 def explain(problem, told, kind, path, text):
@@ -70,14 +99,19 @@
 
 def names(kind, steps):
     """The known names at a place of the schema."""
+    free = False
     for step in [None, *steps]:
         if step is not None:
             if isinstance(step, int):
                 continue
+            if free:
+                free = False        # a key that whoever wrote the file chose
+                continue
             if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
                 kind = {f.encode_name: f.type for f in msgspec.structs.fields(kind)}.get(step)
         # Through optional, list and dict types to the struct inside; which is enough for files by people.
         while typing.get_args(kind):
+            free = free or typing.get_origin(kind) is dict
             inner = [a for a in typing.get_args(kind) if a not in (type(None), str)]
             if not inner:
                 break
