Membership by gossip: SWIM with local health, majorities, a simulator and a proof

Need: balancers that may talk should know of each other without a service, and a view that is wrong must not have anybody take more of an upstream than its part. Change: package gossip (swim.py and place.py decide, datagram.py, part.py), table [gossip], pepperhook gossip HOST:PORT, the same decisions in virtual time (lab/gossip.py), proof membership with five plants, note and operators' page.

--- a/pepperhook/cli/main.py
+++ b/pepperhook/cli/main.py
@@ -7,7 +7,7 @@
 
 import click
 
-from pepperhook.cli import control, lab, record, trace
+from pepperhook.cli import control, gossip, lab, record, trace
 from pepperhook.cli.common import JSON, Input
 
 CONFIG = click.option("--config", "config_path", metavar="FILE", envvar="LB_CONFIG",
@@ -180,3 +180,4 @@
 main.add_command(record.record)
 main.add_command(trace.trace)
 main.add_command(control.control)
+main.add_command(gossip.gossip)
--- a/pepperhook/control/part.py
+++ b/pepperhook/control/part.py
@@ -27,7 +27,7 @@
 
 
 class Control:
-    def __init__(self, told, config, log, parts=()):
+    def __init__(self, told, config, log, parts=(), gossip=None):
         self.set, self.config, self.log, self.parts = told, config, log, {name: part for name, part in parts}
         self.keys = Keys([(key.id, key.secret) for key in told.keys])
         self.start = dict(config.settings)
@@ -39,6 +39,12 @@
         self.refused: tuple[int, str] | None = None
         self.listed_as: dict = {}                   # upstream: (state, launched) as the list has it
         self.settling = Settling(config.name, config.settings.get("balancers", 1))
+        # Its place among its fellows, from whichever of the two ways the operator chose; None: that of the settings.
+        self.place = self.settling if told.place else None
+        if gossip is not None:
+            gossip.number = lambda: self.number
+            if gossip.set.place:
+                self.place, gossip.again = gossip.fellows, self.retell
         self.good = self.bad = self.counter = 0
         self.counts = {"applied": 0, "refused": 0, "forged": 0, "old": 0, "broken_streams": 0}
         self.connected = False
@@ -160,8 +166,8 @@
 
     def retell(self):
         node, settings = self.node, decide.settings_with(self.document, self.start, self.config.names)
-        if self.set.place and self.settling.index is not None:
-            settings.update(me=self.settling.index, balancers=self.settling.count)
+        if self.place is not None and self.place.index is not None:
+            settings.update(me=self.place.index, balancers=self.place.count)
         node.core.tell(node.core.module.retold, settings, [(upstream, self.weight(upstream)) for upstream in self.listed_as])
         node.doors.again()
 
--- a/pepperhook/control/service.py
+++ b/pepperhook/control/service.py
@@ -4,17 +4,15 @@
 """
 
 import asyncio
-import json
 import logging
 import time
 
 import msgspec
 from aiohttp import web
 
-from pepperhook import tomlfile
 from pepperhook.control import decide, frames, rollout
 from pepperhook.control.auth import Denied, Guard
-from pepperhook.control.document import NOTHING, Forged, Keys, Version, decoded, differences, sealed
+from pepperhook.control.document import NOTHING, Keys, Version, decoded, differences, sealed
 from pepperhook.control.members import Members
 from pepperhook.control.rollout import Rollout, Step
 from pepperhook.control.store import Conflict, Full, Store
@@ -255,7 +253,7 @@
             return web.json_response({"error": str(problem), "since": [msgspec.to_builtins(one) for one in problem.since]}, status=409)
         except Full as problem:
             return web.json_response({"error": str(problem)}, status=507)
-        except (tomlfile.Faulty, json.JSONDecodeError, KeyError, TypeError, msgspec.MsgspecError, Forged) as problem:
+        except (ValueError, KeyError, TypeError) as problem:    # a document's faults and the library's are ValueErrors, too
             what = f"{problem.args[0]}: is missing" if isinstance(problem, KeyError) else str(problem)
             return web.json_response({"error": what}, status=400)
 
--- a/pepperhook/lab/audit.py
+++ b/pepperhook/lab/audit.py
@@ -274,6 +274,7 @@
             figures["keys"] = self.keys_told()
         figures["sums"] = self.sums(sum(served is not None for _, served in wishes))
         figures["cold"] = self.cold()
+        figures["shortest_leave_ms"] = self.shortest_leave()
         figures["worst_ten_seconds"] = self.worst_stretch()
         for key, count in ("customer", len(self.day.customers)), ("grade", len(self.day.grades)):
             rows = getattr(self.day, key + "s")
@@ -305,6 +306,17 @@
                 "asks_per_served": ratio(len(self.asked), served), "probe_waits": len(waits),
                 "probe_wait_ms": round(mean / MS), "probe_wait_spread": spread and round(spread, 3)}
 
+    def shortest_leave(self):
+        """Milliseconds between a balancer's being told to leave and its end, of the one that was the quickest; None: nobody was told."""
+        told, spans = {}, []
+        for row in sorted(self.happened, key=lambda row: row.at):
+            name = row.tier, row.who
+            if row.what == "balancer told to leave":
+                told[name] = row.at
+            elif row.what == "balancer left" and name in told:
+                spans.append(row.at - told.pop(name))
+        return round(min(spans) / MS) if spans else None
+
     def cold(self):
         """What those that came up cold were sent in their first seconds, for what a fellow was sent then that had not been away."""
         came, away = defaultdict(list), defaultdict(lambda: float("inf"))
--- a/pepperhook/lab/proofs/__init__.py
+++ b/pepperhook/lab/proofs/__init__.py
@@ -7,10 +7,11 @@
 from pepperhook.lab.proofs.customers import NoisyCustomerProof
 from pepperhook.lab.proofs.h2 import H2Proof
 from pepperhook.lab.proofs.mass import MassProof
+from pepperhook.lab.proofs.membership import MembershipProof
 from pepperhook.lab.proofs.repeats import RepeatsProof
 from pepperhook.lab.proofs.replay import ReplayProof
 from pepperhook.lab.proofs.trace import TraceProof
 
 PROOFS = {proof.name: proof for proof in (AuditorProof, AmplificationProof, NoisyCustomerProof, ChainProof, H2Proof,
                                          RepeatsProof, ReplayProof, TraceProof, MassProof,
-                                         ControlProof)}
+                                         ControlProof, MembershipProof)}
--- a/pepperhook/operator/__init__.py
+++ b/pepperhook/operator/__init__.py
@@ -37,10 +37,17 @@
             # Round the recorder: what is captured is what the module itself is told.
             from pepperhook.record.tracing import Traces
             parts.append(Traces(file.trace, told, log))
+        gossip = None
+        if file.gossip is not None:
+            if file.gossip.place and file.control is not None and file.control.place:
+                raise ValueError("gossip.place: control.place is on, too; a balancer has one place")
+            from pepperhook.gossip.part import Gossip
+            gossip = Gossip(file.gossip, told, log)
+            parts.append(gossip)
         if file.control is not None:
             from pepperhook.control.part import Control
             parts.append(Control(file.control, told, log, [
-                (name, part) for name, part in (("customers", next((p for p in parts if type(p).__name__ == "Quotas"), None)),) if part]))
+                (name, part) for name, part in (("customers", next((p for p in parts if type(p).__name__ == "Quotas"), None)),) if part], gossip))
     except ValueError as problem:
         raise config.Faulty(f"{path}: {problem}") from None
     log.info("operator_file", path=path, parts=",".join(
--- a/pepperhook/operator/schema.py
+++ b/pepperhook/operator/schema.py
@@ -111,6 +111,17 @@
     place: bool = False             # number and place among the tier's balancers are those that hold leases
 
 
+class Gossip(Struct, forbid_unknown_fields=True, kw_only=True):
+    """Who is there, by gossip among balancers over UDP."""
+
+    listen: Annotated[str, Meta(pattern="^[^ ]+:[0-9]+$")]  # HOST:PORT of this balancer, as the others reach it
+    seeds: Annotated[list[str], Meta(min_length=1)]         # some of the others, by whom it finds all
+    keys: Annotated[list[Key], Meta(min_length=1)]          # the first signs, all are believed
+    place: bool = False             # number and place among the tier's balancers are what it sees
+    period_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1000.0    # between probes
+    suspicion: Annotated[float, Meta(ge=1, le=20)] = 3.0    # times log10 of their number, in periods: the shortest time until one is lost
+
+
 class Operator(Struct, forbid_unknown_fields=True, kw_only=True):
     version: Literal[1]
     customers: Customers | None = field(default=None)
@@ -119,4 +130,5 @@
     record: Record | None = field(default=None)
     trace: Trace | None = field(default=None)
     control: Control | None = field(default=None)
+    gossip: Gossip | None = field(default=None)
     h2: H2 | None = field(default=None)
--- a/pepperhook/record/capture.py
+++ b/pepperhook/record/capture.py
@@ -148,12 +148,15 @@
         return results
 
 
-def through(name):
-    def call(self, now, *about):
-        return self.call(name, now, *about)
-    call.__name__ = name
-    return call
-
-
-for _name in CALLS:
-    setattr(Recorder, _name, through(_name))
+def passes_on(kind):
+    """Gives a class that stands in a module's place all its calls, each by way of ``call(name, now, *about)``."""
+    def through(name):
+        def call(self, now, *about):
+            return self.call(name, now, *about)
+        call.__name__ = name
+        return call
+    for name in CALLS:
+        setattr(kind, name, through(name))
+
+
+passes_on(Recorder)
--- a/pepperhook/record/export.py
+++ b/pepperhook/record/export.py
@@ -38,17 +38,14 @@
 
 def whole(about, life: Life) -> dict:
     """One life with all it has, by name."""
-    names = msgspec.structs.fields(Life)
-    told = {field.name: getattr(life, field.name) for field in names}
-    told["waits"] = [{f.name: getattr(wait, f.name) for f in msgspec.structs.fields(type(wait))} for wait in life.waits]
-    told["sent"] = [{f.name: by_name(getattr(sent, f.name)) for f in msgspec.structs.fields(type(sent))} for sent in life.sent]
-    return {"balancer": about.name, "tier": about.tier, **told}
+    return {"balancer": about.name, "tier": about.tier, **by_name(life)}
 
 
 def by_name(value):
+    """Records, which are arrays on disk, as maps all the way down."""
     if isinstance(value, msgspec.Struct):
-        return {f.name: getattr(value, f.name) for f in msgspec.structs.fields(type(value))}
-    return value
+        return {field.name: by_name(getattr(value, field.name)) for field in msgspec.structs.fields(type(value))}
+    return [by_name(inner) for inner in value] if isinstance(value, list) else value
 
 
 def jsonl(rows: Iterable, file) -> int:
--- a/pepperhook/record/tools.py
+++ b/pepperhook/record/tools.py
@@ -161,6 +161,7 @@
     merged = Merged(0, 0, list(clocks.values()), unmatched, 0)
     lately: dict = {}       # what was written lately, against its coming again; and dispatches, against calls before them
     span = 2 * max((source.longest for source in found), default=0) + 10 ** 9
+    tell("writing", 1.0)
     with writing(out, about) as writer:
         heads: list = []
         streams = [ordered(source, clocks[source.name].ahead) for source in found]
@@ -180,7 +181,6 @@
                 lately = {key: when for key, when in lately.items() if when > taken - span}
             add(writer, life)
             merged.lives += 1
-            tell("writing", 1.0)
     merged.before_their_dispatch = early(out)
     return merged
 
--- a/pepperhook/record/trace.py
+++ b/pepperhook/record/trace.py
@@ -16,12 +16,12 @@
 from msgspec import Struct
 
 from pepperhook.model import FULFILLED
+from pepperhook.record.capture import passes_on
 from pepperhook.record.container import framed
 
 CONTENT = 1                 # version of a trace's records
 US = 1000
 MOST_STEPS = 64             # kept of one life; more are counted in ``cut``
-CALLS = ("listing", "listing_failed", "take", "started", "ended", "left", "probed", "heard", "retold", "wake")
 ENCODER = msgspec.msgpack.Encoder()
 SERVED, SHED, BROKEN, LEFT, OPEN = "fulfilled", "shed", "broken off", "left", "open"
 
@@ -261,15 +261,7 @@
         return crc32(root.encode()) < self.keep_below
 
 
-def through(name):
-    def call(self, now, *about):
-        return self.call(name, now, *about)
-    call.__name__ = name
-    return call
-
-
-for _name in CALLS:
-    setattr(Tracer, _name, through(_name))
+passes_on(Tracer)
 
 
 def named(names, number) -> str:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -23,6 +23,7 @@
 from pepperhook.control.decide import Seen
 from pepperhook.control.document import Document, Forged, Keys, Version, decoded, patch, patched, proven, sealed
 from pepperhook.control.rollout import Count, Rollout, Step
+from pepperhook.lab import explore
 from pepperhook.net.log import Log
 from pepperhook.net.parts import Parts
 from pepperhook.operator.schema import Control, Key, Operator
@@ -622,6 +623,7 @@
         assert statuses.count(200) <= 8 and statuses.count(401) >= 22
         async with session.post(f"http://{served.address}/v1/plan", headers=auth.signed(KEYS, "POST", "/v1/plan", b"{"), data=b"{") as said:
             assert said.status == 400
+        assert (await ask(auth.signed(KEYS, "GET", "/v1/versions?after=x"), "/v1/versions?after=x"))[0] == 400
 
 
 @loopback
@@ -700,3 +702,29 @@
         said = CliRunner().invoke(main, ["control", "serve", "--listen", "127.0.0.1:%d" % held.getsockname()[1], "--store",
                                          f"{folder}/s", "--keys", f"{folder}/keys"])
         assert said.exit_code == 1 and "in use" in said.output
+
+
+# All that can happen to a small rollout.
+
+@pytest.mark.parametrize("case", explore.CASES, ids=lambda case: case.name)
+def test_no_order_of_messages_crash_or_loss_breaks_a_rollouts_rules(case):
+    states, broken = explore.explore(explore.Explorer(msgspec.structs.replace(case, turns=2)))
+    assert broken is None, broken
+    assert states > 1000
+
+
+def told_before_written(self, it):
+    self.rollout = it
+
+
+def test_planted_faults_of_the_service_and_of_its_decisions_are_found_by_the_shortest_way(monkeypatch):
+    class Hasty(service.Control):
+        settle = told_before_written
+    # Long enough that a step ends: only then is there something new to write.
+    case = msgspec.structs.replace(explore.CASES[0], turns=3)
+    _, broken = explore.explore(explore.Explorer(case, Hasty))
+    assert broken is not None and "in memory alone" in broken.rule and broken.way[-1] == "a second passes"
+    monkeypatch.setattr(rollout, "LEAST", 1)
+    monkeypatch.setattr(rollout, "wanted", lambda it, name: it.version)
+    _, broken = explore.explore(explore.Explorer(explore.CASES[1]))
+    assert broken is not None and "written down as one that is in" in broken.rule and len(broken.way) == 1
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -338,6 +338,14 @@
     assert cold == {"starts": 1, "sent": 2, "to_a_fellow": 4.0, "share": 0.5}
 
 
+def test_the_quickest_leave_is_from_the_word_to_the_end_of_the_same_balancer():
+    told = [(1000, "balancer told to leave", 0), (1100, "balancer told to leave", 1), (1600, "balancer left", 1), (1400, "balancer left", 0),
+            (1700, "balancer left", 1)]
+    rows = [events.Happened(at * MS, what, 0, who) for at, what, who in told]
+    assert audit.Auditor(day(), [one(), work(), *rows], 0).judge().figures["shortest_leave_ms"] == 400
+    assert audit.Auditor(day(), [one(), work()], 0).judge().figures["shortest_leave_ms"] is None
+
+
 def test_the_worst_wait_for_a_core_is_between_two_looks(tmp_path, monkeypatch):
     import builtins
     import io
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -271,3 +271,22 @@
         assert it.ring.dropped == 1 and it.ring.segments == 2
         found = [replay.play(path, policy.Balancer) for path in sorted(Path(name).glob("*.rec"))]
         assert found[-1].calls > 5 and found[-1].difference is None
+
+
+# Captured days of the lab (`pepperhook lab prove replay --write tests/captures`), each from its module's birth.
+
+DAYS = sorted((Path(__file__).parent / "captures").glob("*.rec"))
+
+
+@pytest.mark.parametrize("path", DAYS, ids=lambda path: path.stem)
+def test_captured_days_replay_to_the_byte(path):
+    """A change of the decisions shows here at its first effect. Where it was wanted, capture the days anew and say so."""
+    told = replay.play(path, policy.Balancer)
+    assert told.difference is None, told.difference
+    assert told.calls > 500 and not told.lost_bytes and path.stat().st_size < 300 * 1024
+
+
+def test_a_changed_constant_is_flagged_by_captured_days(tmp_path):
+    assert len(DAYS) == 3
+    make = changed(tmp_path, "QUICK = 2.0 ", "QUICK = 1.2 ")
+    assert any(replay.play(path, make).difference is not None for path in DAYS)
