Records reach the disk within two seconds, so a kill -9 no longer costs all that was traced

Cause: ring.py's thread knew 'flush', and nobody sent it (work); part.py kept up to 64 KB before handing them on (take). Change: the thread writes a block that has waited for 2 s; captures are handed on as soon. A test kills a process and reads its file; it fails without.

--- a/pepperhook/record/part.py
+++ b/pepperhook/record/part.py
@@ -13,6 +13,7 @@
 
 BATCH = 64 * 1024       # bytes that go to the thread at once
 S = 10 ** 9
+HAND_NS = 2 * S         # that less than a batch may wait
 
 
 class Records:
@@ -52,7 +53,8 @@
         if not self.batch:
             self.batch_at = self.last
         self.batch += record
-        if len(self.batch) >= BATCH:
+        # Where little is called a batch takes minutes to fill, which a kill -9 would cost.
+        if len(self.batch) >= BATCH or self.last - self.batch_at >= HAND_NS:
             self.hand()
 
     def hand(self):
--- a/pepperhook/record/ring.py
+++ b/pepperhook/record/ring.py
@@ -14,6 +14,7 @@
 from pepperhook.record.container import About, Writer
 
 WAITING = 256           # items that may wait for the thread
+FLUSH_S = 2.0           # that records may wait for their block to fill: what is written by then outlives kill -9
 S = 10 ** 9
 
 
@@ -68,9 +69,12 @@
     # In the thread.
 
     def work(self):
-        writer = None
+        writer, since = None, None      # when the first record came that no block on disk has
         while True:
-            what, *about = self.queue.get()
+            try:
+                what, *about = self.queue.get(timeout=None if since is None else max(0.0, since + FLUSH_S - time.monotonic()))
+            except queue.Empty:
+                what, about = "flush", ()
             try:
                 if what == "open":
                     if writer is not None:
@@ -81,9 +85,14 @@
                     self.broken = None
                 elif what == "records" and writer is not None:
                     writer.add(*about[:2], **(about[2] if len(about) > 2 else {}))
-                elif what == "flush" and writer is not None:
+                if writer is None or not writer.count:
+                    since = None
+                elif since is None:
+                    since = time.monotonic()
+                if since is not None and (what == "flush" or time.monotonic() - since >= FLUSH_S):
                     writer.flush()
-                elif what == "keep":
+                    since = None
+                if what == "keep":
                     self.move(about[0], writer)
                 elif what == "close":
                     if writer is not None:
@@ -92,7 +101,7 @@
             except OSError as problem:
                 if self.broken is None:
                     self.log.warning("record_broken", folder=self.folder, error=problem.strerror or problem)
-                self.broken, writer, self.gap = problem.strerror or str(problem), None, True
+                self.broken, writer, since, self.gap = problem.strerror or str(problem), None, None, True
                 if what == "close":
                     return
 
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -5,7 +5,10 @@
 import pickle
 import queue
 import random
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 
 import msgspec
@@ -290,3 +293,39 @@
     assert len(DAYS) == 3
     make = changed(tmp_path, "QUICK = 2.0 ", "QUICK = 1.2 ")
     assert any(replay.play(path, make).difference is not None for path in DAYS)
+
+
+# What a kill -9 costs.
+
+def test_records_outlive_their_process_though_no_block_was_full(tmp_path):
+    """A balancer with little traffic kept its last minutes in memory: of two hundred that were killed not one record was on disk."""
+    text = f"""
+import time
+from pepperhook.record import ring
+from pepperhook.record.container import About
+from pepperhook.net.log import start
+ring.FLUSH_S = 0.05
+one = ring.Ring({str(tmp_path)!r}, "b", "trc", 60.0, 10.0, start())
+one.begin()
+one.open(About("trace", 1, "b", 0, 1, 1, {{}}))
+for number in range(20):
+    one.put(("records", b"\\xc0", number))
+    time.sleep(0.02)
+print("written", flush=True)
+time.sleep(60)
+"""
+    process = subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE)
+    try:
+        assert process.stdout.readline() == b"written\n"
+        path = next(tmp_path.glob("*.trc"))
+        for _ in range(1000):
+            with Reader(path) as reader:
+                count = sum(len(data) for _, kind, data in reader.blocks() if kind == RECORDS)
+            if count == 20:
+                break
+            time.sleep(0.01)
+        assert count == 20
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
