--- a/pepperhook/control/members.py
+++ b/pepperhook/control/members.py
@@ -26,6 +26,7 @@
     good: int = 0               # operations since its start, by its own count
     bad: int = 0
     upstreams: tuple[str, ...] = ()
+    upstreams_mark: int = 0         # its own checksum of them; another one and it tells them anew
     address: str = ""
     beats: float = 0.0          # of late, for its bound
     heard: int = 0
--- a/pepperhook/control/part.py
+++ b/pepperhook/control/part.py
@@ -47,7 +47,7 @@
                 self.place, gossip.again = gossip.fellows, self.retell
         self.good = self.bad = self.counter = 0
         self.counts = {"applied": 0, "refused": 0, "forged": 0, "old": 0, "broken_streams": 0}
-        self.connected = False
+        self.connected, self.mark = False, 0
 
     @property
     def number(self) -> int:
@@ -255,13 +255,18 @@
             await asyncio.sleep(BEAT_S * (0.75 + 0.5 * self.chance()))
 
     async def beat(self):
-        body = json.dumps({"name": self.config.name, "tier": self.config.settings.get("tier", 0), "running": self.number,
-                           "refused": self.refused, "good": self.good, "bad": self.bad,
-                           "address": "{}:{}".format(*self.config.listen),
-                           "upstreams": [name_of(u) for u, (state, _) in self.listed_as.items() if state == READY]}).encode()
+        told = {"name": self.config.name, "tier": self.config.settings.get("tier", 0), "running": self.number,
+                "refused": self.refused, "good": self.good, "bad": self.bad, "address": "{}:{}".format(*self.config.listen)}
+        ready = sorted(name_of(u) for u, (state, _) in self.listed_as.items() if state == READY)
+        told["upstreams_mark"] = crc32("\n".join(ready).encode())
+        if told["upstreams_mark"] != self.mark:
+            told["upstreams"] = ready
+        body = json.dumps(told).encode()
         async with self.session.post(f"http://{self.set.address}/v1/beat", data=body, headers=signed(
                 self.keys, "POST", "/v1/beat", body), timeout=aiohttp.ClientTimeout(total=5)) as answer:
-            await answer.read()
+            # What the service has; a restarted one has nothing.
+            if answer.status == 200:
+                self.mark = (await answer.json()).get("upstreams_mark", 0)
 
 
 def name_of(upstream) -> str:
--- a/pepperhook/control/rollout.py
+++ b/pepperhook/control/rollout.py
@@ -71,13 +71,13 @@
     in. Who was in stays in, whoever comes or goes: nobody is moved back and forth by others."""
     if it.state != GOING:
         return False
-    most, before = max(1, round(it.steps[it.step].share * len(names))), len(it.entered)
-    for name in sorted(names, key=lambda known: (place(known), known)):
-        if len([known for known in it.entered if known in names]) >= most:
-            break
-        if name not in it.entered:
-            it.entered.append(name)
-    return len(it.entered) > before
+    most, inside = max(1, round(it.steps[it.step].share * len(names))), set(it.entered)
+    there = len(inside.intersection(names))
+    # Counted along, not anew for each: with a thousand members that took ten seconds.
+    others = sorted((name for name in names if name not in inside), key=lambda known: (place(known), known))
+    coming = others[:max(0, most - there)]
+    it.entered.extend(coming)
+    return bool(coming)
 
 
 def wanted(it: Rollout, name: str) -> int:
@@ -135,7 +135,8 @@
                       f"served in time, of {others.all} by the old {others.bad / others.all:.2%}; surely worse by {low:.2%}")
             return True
     over = now - it.begun >= step.seconds * S
-    behind = [name for name in names if name in it.entered and running.get(name) != it.version]
+    inside = set(it.entered)
+    behind = [name for name in names if name in inside and running.get(name) != it.version]
     if over and known and not behind:
         if it.step + 1 == len(it.steps):
             it.state, it.why = DONE, ""
--- a/pepperhook/control/service.py
+++ b/pepperhook/control/service.py
@@ -21,6 +21,7 @@
 TICK_S = 0.25
 BEAT_S = 2.0            # between frames of a stream that has nothing else to say
 MOST_BODY = 1024 * 1024
+MOST_MADE = 16          # versions as frames that are kept for the next that wants them
 BACKWARDS = ["effect", "limit", "method", "step"]   # what a return forces: it is where members were before
 MEMBERS_S = 5.0         # between writings of what members said
 
@@ -47,6 +48,8 @@
         self.stale: dict = {}
         self.written = 0.0
         self.counts = {"streams": 0, "versions_sent": 0, "bytes_sent": 0, "denied": 0, "beats": 0}
+        self.made: dict = {}        # frames of versions lately sent, by number and by what they are patches of
+        self.views: dict = {}       # by tier: the epoch and the frame of its view
 
     # What members are to run.
 
@@ -179,7 +182,9 @@
         if self.rollout is not None and member.running == told["running"] and good >= member.good and bad >= member.bad:
             rollout.counted(self.rollout, member.running, good - member.good, bad - member.bad)
         member.running, member.good, member.bad = told["running"], good, bad
-        member.upstreams = tuple(told.get("upstreams", ()))[:2000]
+        if "upstreams" in told:
+            # Told when they change: three hundred names in each beat of a thousand members were most of what came.
+            member.upstreams, member.upstreams_mark = tuple(told["upstreams"])[:2000], told.get("upstreams_mark", 0)
         if told.get("refused"):
             number, why = told["refused"]
             if member.state != "refused" or member.why != why:
@@ -200,23 +205,39 @@
         while True:
             moved, number = self.moved, self.wanted(name)
             if number != have and number:
-                version = self.store.version(number)
-                for data in frames.version_frames(version, self.store.version(have) if have else None):
-                    await write(data)
-                    self.counts["bytes_sent"] += len(data)
+                data = self.frames(number, have)
+                await write(data)
+                self.counts["bytes_sent"] += len(data)
                 self.counts["versions_sent"] += 1
                 have = number
                 if name in self.members.rows:
                     self.members.rows[name].told = number
             if self.members.epochs.get(tier, 0) != epoch:
-                epoch = self.members.epochs.get(tier, 0)
-                await write(frames.said(frames.VIEW, frames.View(epoch, self.members.names(tier))))
+                epoch, data = self.view(tier)
+                await write(data)
             await write(frames.said(frames.BEAT, frames.Beat(number, int(self.clock() * 1000))))
             try:
                 await asyncio.wait_for(moved.wait(), BEAT_S)
             except TimeoutError:
                 pass
 
+    def frames(self, number: int, have: int) -> bytes:
+        """One version as its frames, made once for all members that have the same: made for each it took a thousand members' core."""
+        known = self.made.get((number, have))
+        if known is None:
+            if len(self.made) >= MOST_MADE:
+                self.made.clear()
+            known = self.made[number, have] = b"".join(frames.version_frames(
+                self.store.version(number), self.store.version(have) if have else None))
+        return known
+
+    def view(self, tier: int) -> tuple[int, bytes]:
+        """The epoch of a tier's members, and the frame that tells them."""
+        epoch = self.members.epochs.get(tier, 0)
+        if self.views.get(tier, (None,))[0] != epoch:
+            self.views[tier] = epoch, frames.said(frames.VIEW, frames.View(epoch, self.members.names(tier)))
+        return self.views[tier]
+
     # HTTP.
 
     def app(self) -> web.Application:
@@ -275,7 +296,7 @@
     async def http_beat(self, request):
         told = await request.json()
         self.beat(told)
-        return web.json_response({"wanted": self.wanted(told["name"])})
+        return web.json_response({"wanted": self.wanted(told["name"]), "upstreams_mark": self.members.rows[told["name"]].upstreams_mark})
 
     async def http_versions(self, request):
         return web.json_response([msgspec.to_builtins(one) for one in self.store.versions(int(request.query.get("after", "0")))])
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,6 +1,7 @@
 """Streamed configuration: nothing half applied, nothing forged or old taken, nothing harmful without a name, nothing acknowledged lost."""
 
 import asyncio
+import dataclasses
 import itertools
 import json
 import logging
@@ -728,3 +729,70 @@
     monkeypatch.setattr(rollout, "wanted", lambda it, name: it.version)
     _, broken = explore.explore(explore.Explorer(explore.CASES[1]))
     assert broken is not None and "written down as one that is in" in broken.rule and len(broken.way) == 1
+
+
+# A thousand members.
+
+class Looked(list):
+    """Counts how often somebody looks through the whole of it."""
+
+    looks = 0
+
+    def __contains__(self, name):
+        Looked.looks += 1
+        return super().__contains__(name)
+
+
+def test_letting_a_thousand_in_looks_at_each_once():
+    # Counted anew for each name it took ten seconds, in which the service told nobody anything.
+    names = Looked(f"m{number:04}" for number in range(1000))
+    it = rollout.begin(Rollout(number=1, version=2, before=1, steps=[Step(0.5, 1.0), Step(1.0, 0.0)], patience_s=1, author=""), 0)
+    assert rollout.admit(it, names) and len(it.entered) == 500 and Looked.looks < 10
+    assert not rollout.admit(it, names)
+    it.step, some = 1, list(it.entered)
+    assert rollout.admit(it, names) and it.entered[:500] == some and sorted(it.entered) == sorted(names)
+
+
+@loopback
+async def test_a_versions_frames_are_made_once_for_all_that_have_the_same(tmp_path, monkeypatch):
+    plain, made = frames.version_frames, []
+    monkeypatch.setattr(frames, "version_frames", lambda *about: made.append(about) or plain(*about))
+    async with Peer(lambda *_: answer()) as peer, Serving(tmp_path / "s") as served:
+        parts = [client(served.address) for _ in range(4)]
+        for number, one in enumerate(parts):
+            one.config = dataclasses.replace(one.config, name=f"n{number}")
+        served.control.propose({"document": doc()})
+        all_at_once(served.control, 1)
+        running = [Running([peer.dial], parts=Parts([one]), alone=False) for one in parts]
+        for one in running:
+            await one.__aenter__()
+        await until(lambda: [one.number for one in parts] == [1] * 4)
+        assert len(made) == 1 and served.control.counts["versions_sent"] == 4
+        for one in running:
+            await one.__aexit__(None)
+
+
+@loopback
+async def test_upstreams_are_told_when_they_change_and_to_a_service_that_does_not_know_them(tmp_path, monkeypatch):
+    monkeypatch.setattr(part, "BEAT_S", 0.25)
+    bodies, plain = [], service.Control.beat
+    monkeypatch.setattr(service.Control, "beat", lambda self, told: bodies.append("upstreams" in told) or plain(self, told))
+    async with Peer(lambda *_: answer()) as peer:
+        served = Serving(tmp_path / "s")
+        async with served:
+            it = client(served.address)
+            running = Running([peer.dial], parts=Parts([it]), alone=False)
+            await running.__aenter__()
+            await until(lambda: len(bodies) >= 8)
+            # With the first, and where the list had changed by the next.
+            assert bodies[0] and sum(bodies) <= 3
+            assert served.control.members.rows["n"].upstreams == ("h0",)
+            it.listed_as.clear()
+            await until(lambda: served.control.members.rows["n"].upstreams == ())
+        # Another service with the same store: it has the members' leases and none of their upstreams.
+        count = len(bodies)
+        async with Serving(tmp_path / "s", port=served.port) as again:
+            it.mark = 12345
+            await until(lambda: len(bodies) >= count + 3 and "n" in again.control.members.rows)
+            assert sum(bodies[count:]) >= 1
+            await running.__aexit__(None)
