--- a/pepperhook/cli/lab.py
+++ b/pepperhook/cli/lab.py
@@ -254,11 +254,11 @@
                    f"{statistics.median(row['core_ms_ratios']):.2f} of 1-1")
 
 
-@lab.command()
+@lab.command(name="control-load")
 @click.option("--members", default="20,100,1000", show_default=True, metavar="N,N,...", help="Numbers of members, one after the other.")
 @click.option("--port", type=click.IntRange(1, 65535), default=7499, show_default=True, help="Of the service, on loopback.")
 @JSON
-def controlload(members, port, as_json):
+def control_load(members, port, as_json):
     """What a control service takes with many members: joining at once, a version to all, at rest."""
     needs_lab()
     from pepperhook.lab import controlload as loads
@@ -270,15 +270,15 @@
             with progress(as_json) as tell:
                 rows = loads.measure(counts, folder, port, tell)
         except (OSError, loads.Failed) as problem:
-            raise click.ClickException(f"controlload: {problem}") from None
+            raise click.ClickException(f"control-load: {problem}") from None
     click.echo(json.dumps(rows) if as_json else "\n".join(", ".join(f"{key} {value}" for key, value in row.items()) for row in rows))
 
 
-@lab.command()
+@lab.command(name="trace-size")
 @click.option("--mb", type=click.FloatRange(0.1, 10_000), default=1000.0, show_default=True, help="Of the trace that is made.")
 @click.option("--seed", type=int, default=1, show_default=True)
 @JSON
-def tracesize(mb, seed, as_json):
+def trace_size(mb, seed, as_json):
     """What a summary of a large trace takes in time and memory; the trace is made first."""
     needs_lab()
     from pepperhook.lab import tracesize as sizes
@@ -287,7 +287,7 @@
             with progress(as_json) as tell:
                 told = sizes.measure(mb, seed, folder, tell)
         except (OSError, RuntimeError) as problem:
-            raise click.ClickException(f"tracesize: {problem}") from None
+            raise click.ClickException(f"trace-size: {problem}") from None
     click.echo(json.dumps(told) if as_json else "\n".join(f"{key}: {value}" for key, value in told.items()))
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -796,3 +796,10 @@
             await until(lambda: len(bodies) >= count + 3 and "n" in again.control.members.rows)
             assert sum(bodies[count:]) >= 1
             await running.__aexit__(None)
+
+
+def test_the_measurement_of_many_members_tells_each_number(tmp_path):
+    from pepperhook.lab import controlload
+    [row] = controlload.measure([6], tmp_path, free_port())
+    assert row["members"] == 6 and row["version_at_all_s"] >= row["version_at_half_s"] > 0 and not row["broken_streams"]
+    assert CliRunner().invoke(main, ["lab", "control-load", "--members", "3,x"]).exit_code == 2
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -576,3 +576,11 @@
     said = run.invoke(main, ["record", "keep", str(process.pid)])
     assert said.exit_code == 0 and process.wait(30) == 7
     process.stdout.close()
+
+
+def test_the_measurement_of_a_summary_counts_every_life(tmp_path):
+    from pepperhook.lab import tracesize
+    told = tracesize.measure(0.3, 4, tmp_path)
+    assert told["lives"] == told["summed"] >= 2000 and told["peak_mb"] > 10
+    done = CliRunner().invoke(main, ["lab", "trace-size", "--mb", "0.01"])
+    assert done.exit_code == 2
