--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -4,6 +4,7 @@
 Down the chain Answers > Shares > Gate > Budget > Pick > Sender goes an operation, up it what comes back.
 """
 
+from collections import deque
 from math import exp, log, sqrt
 from zlib import crc32
 
@@ -30,21 +31,59 @@
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 ROOM = 3                    # dispatches that all callers together may always have out at an upstream
 SLACK = 1.4                 # times its limit that a mean of few dispatches may reach by chance
+OVERDUE = 2.5               # usual times after which a second copy may go
+FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
 HOLD = 0.2                  # longest wait at the gate, in goal times
 
 
 class Answers(Stage):
     """Rule 1: the one place that gives final answers, and the timer that has one given in time."""
 
+    def __init__(self, core):
+        super().__init__(core)
+        self.lead = 2 * self.settings.get("tick_ns", MS)
+        self.unserved = [deque(maxlen=FEW) for _ in self.settings["grades"]]
+
     def take(self, now, operation):
         operation.taken = now
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
-        lead = 2 * self.settings.get("tick_ns", MS)
-        self.core.later(max(now, operation.not_after - lead), self.due, operation)
-        if not self.inner.take(now, operation):
+        if operation.repeat:
+            self.inherit(now, operation)
+        self.core.later(max(now, operation.not_after - self.lead), self.due, operation)
+        if self.wanes(operation):
+            self.core.later(max(now, operation.goal_at - self.lead), self.give_up, operation)
+        if operation.goal_at - self.lead <= now or not self.inner.take(now, operation):
             self.end(now, operation)
         return True
 
+    def inherit(self, now, operation):
+        # A repeat belongs to its first try: against working for clients whose goal time is long past.
+        earlier = self.unserved[operation.grade["number"]]
+        while earlier:
+            goal_at, ended = earlier.pop()
+            if now - ended < S:
+                operation.goal_at = min(goal_at, operation.goal_at)
+                return
+
+    def wanes(self, operation):
+        return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
+
+    def give_up(self, now, operation):
+        # Against what can earn nothing any more keeping its upstream busy and its client waiting.
+        if not operation.over and not operation.streaming and self.harmless(operation):
+            self.call_off(operation)
+            self.end(now, operation)
+
+    def call_off(self, operation):
+        for dispatch in operation.dispatches:
+            if dispatch.outcome is None:
+                self.core.out.append(("call off", dispatch))
+
+    def harmless(self, operation):
+        grade = operation.grade
+        return grade["effect"] == RETRIABLE or not any(d.may_have_run for d in operation.dispatches) or (
+            grade["effect"] == FINGERPRINTED and grade["group"] == "all")
+
     def due(self, now, operation):
         # Against an operation kept with nothing out; a dispatch that is out ends at the time limit by itself.
         if not operation.out and not operation.streaming:
@@ -57,11 +96,10 @@
             return
         operation.over = True
         self.core.gate.leave(operation)     # else one whose time was up kept all behind it waiting
-        grade = operation.grade
-        if grade["effect"] == RETRIABLE or not any(d.may_have_run for d in operation.dispatches) or (
-                grade["effect"] == FINGERPRINTED and grade["group"] == "all"):
+        self.unserved[operation.grade["number"]].append((operation.goal_at, now))
+        if self.harmless(operation):
             # Advice is spread out, against all that were shed coming back at once.
-            advice = int((0.5 + self.core.chance()) * grade["goal_ns"])
+            advice = int((0.5 + self.core.chance()) * operation.grade["goal_ns"])
             longest = self.settings.get("longest_advice_ns", S) if self.settings.get("may_advise") else 0
             self.core.out.append(("shed", operation, min(advice, longest)))
         else:
@@ -70,6 +108,8 @@
     def ended(self, now, dispatch):
         if not dispatch.operation.out and not dispatch.operation.waiting:
             self.end(now, dispatch.operation)
+        elif dispatch.operation.over and self.settings.get("may_call_off"):
+            self.call_off(dispatch.operation)
 
 
 class Shares(Stage):
@@ -179,7 +219,7 @@
 
     def lone(self, dispatch):
         # Against failures of one upstream with sound fellows, or answers lost on the way, taken for overload.
-        return dispatch.upstream.faulty or dispatch.outcome in (SPOILT, RESET, UNCONNECTED)
+        return dispatch.upstream.faulty or dispatch.outcome in (None, SPOILT, RESET, UNCONNECTED)
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
@@ -192,11 +232,21 @@
             if not lone and not (others and self.grades[number] > HIGH_F and max(others) < LOW_F):
                 self.f += 0.1 * (failed - self.f)
             open_still = failed and not operation.over and not operation.out
-            if open_still and self.granted(now, dispatch) and self.take(now, operation):
-                self.B = max(0.0, self.B - 1 / max(1.0, self.rate.rate(now)))
+            if open_still and self.again(now, dispatch):
                 return
         self.outer.ended(now, dispatch)
 
+    def again(self, now, dispatch):
+        if not self.granted(now, dispatch) or not self.take(now, dispatch.operation):
+            return False
+        self.B = max(0.0, self.B - 1 / max(1.0, self.rate.rate(now)))
+        return True
+
+    def overdue(self, now, dispatch):
+        # Against a mute upstream costing the whole operation: a second copy, on the budget.
+        if dispatch.outcome is None and not dispatch.operation.over and dispatch.operation.out == 1:
+            self.again(now, dispatch)
+
 
 class Pick(Stage):
     """A slice by own index, then the less busy of two random members; sick and cold ones are passed over."""
@@ -425,6 +475,8 @@
         self.core.budget.rate.add(now)
         self.core.budget.steady.add(now)
         self.core.out.append(("dispatch", dispatch, operation.not_after - now))
+        if self.settings.get("may_overlap"):
+            self.core.later(now + int(OVERDUE * self.core.pick.expected(operation)), self.core.budget.overdue, dispatch)
         return True
 
     def ended(self, now, dispatch):
@@ -500,6 +552,8 @@
             dispatch.operation.over |= final
             if report:
                 dispatch.upstream.report, dispatch.upstream.report_at = report, now
+            if outcome == CALLED_OFF and now >= dispatch.operation.goal_at - self.answers.lead:
+                dispatch.outcome = TIMED_OUT        # by its goal time in place of its limit
             self.sender.ended(now, dispatch)
 
     @call
