--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -114,7 +114,7 @@
     """What a client asked for; it ends with exactly one final answer."""
 
     __slots__ = ("id", "grade", "customer", "key", "not_after", "cost", "repeat", "taken", "goal_at", "value",
-                 "dispatches", "out", "over", "streaming", "waiting")
+                 "dispatches", "out", "over", "streaming", "waiting", "looking", "rounds")
 
     def __init__(self, id, grade, customer, key, not_after, cost=None, repeat=False):
         self.id, self.grade, self.customer, self.key = id, grade, customer, key
@@ -123,6 +123,7 @@
         self.value = 0.0
         self.dispatches, self.out = [], 0
         self.over = self.streaming = self.waiting = False
+        self.looking, self.rounds = False, 0        # whether it waits for what upstreams hold, and how often it did
 
 
 class Dispatch:
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -31,6 +31,8 @@
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 ROOM = 3                    # dispatches that all callers together may always have out at an upstream
 SLACK = 1.4                 # times its limit that a mean of few dispatches may reach by chance
+LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3      # longest wait for what upstreams hold, how long it counts, how often
+AGAIN = 10 * MS             # until what waits at the gate looks again
 OVERDUE = 2.5               # usual times after which a second copy may go
 FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
 HOLD = 0.2                  # longest wait at the gate, in goal times
@@ -106,7 +108,7 @@
             self.core.out.append(("break off", operation))
 
     def ended(self, now, dispatch):
-        if not dispatch.operation.out and not dispatch.operation.waiting:
+        if not dispatch.operation.out and not dispatch.operation.waiting and not dispatch.operation.looking:
             self.end(now, dispatch.operation)
         elif dispatch.operation.over and self.settings.get("may_call_off"):
             self.call_off(dispatch.operation)
@@ -154,7 +156,9 @@
         self.queue.sort(key=lambda kept: (-kept.value, kept.taken))
         if self.core.notes is not None:
             self.core.notes.append((operation, "waits", self.queue.index(operation), len(self.queue)))
-        self.core.later(now + int(HOLD * operation.grade["goal_ns"]), self.drop, operation)
+        self.core.later(max(now, operation.taken + int(HOLD * operation.grade["goal_ns"])), self.drop, operation)
+        if self.core.pick.sees:
+            self.core.later(now + AGAIN, self.retry, None)
         self.release(now)
         while len(self.queue) > 2 * max(1, len(self.core.pick.members)):
             if self.core.notes is not None:
@@ -173,6 +177,9 @@
                 self.core.notes.append((operation, "waited in vain"))
             self.core.answers.end(now, operation)
 
+    def retry(self, now, _):
+        self.release(now)
+
     def release(self, now):
         while self.queue and self.inner.take(now, self.queue[0]):
             self.leave(self.queue[0])
@@ -231,7 +238,7 @@
             # Against one failing grade halting retries for all.
             if not lone and not (others and self.grades[number] > HIGH_F and max(others) < LOW_F):
                 self.f += 0.1 * (failed - self.f)
-            open_still = failed and not operation.over and not operation.out
+            open_still = failed and not operation.over and not operation.out and not operation.looking
             if open_still and self.again(now, dispatch):
                 return
         self.outer.ended(now, dispatch)
@@ -244,7 +251,8 @@
 
     def overdue(self, now, dispatch):
         # Against a mute upstream costing the whole operation: a second copy, on the budget.
-        if dispatch.outcome is None and not dispatch.operation.over and dispatch.operation.out == 1:
+        if dispatch.outcome is None and not dispatch.operation.over and dispatch.operation.out == 1 and (
+                not dispatch.operation.looking):
             self.again(now, dispatch)
 
 
@@ -255,6 +263,10 @@
         super().__init__(core)
         self.listed, self.ring, self.home, self.members, self.part = {}, [], [], [], 1.0
         self.best = [grade["goal_ns"] for grade in self.settings["grades"]]
+        # Whether upstreams tell a probe what they hold; operations that wait for such news, and of whom.
+        self.sees = self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
+            "in flight" in self.settings.get("report_fields", ()))
+        self.looks = {}
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
     def heft(self, operation):
@@ -349,10 +361,47 @@
             upstream.probing = True
             self.core.out.append(("probe", upstream))
 
-    def room(self, now, upstream):
+    def held(self, now, upstream):
+        """What it told just now that it holds; None: nothing."""
+        return upstream.report["in flight"] if upstream.report and now - upstream.report_at < SEEN else None
+
+    def look_first(self, now, operation, usable):
+        """Against own dispatches telling nothing where each balancer sends few: two are asked what they hold, and
+        two more while none is idle."""
+        news = [self.held(now, u) for u in usable]
+        rest = [u for u, held in zip(usable, news) if held is None]
+        if operation.looking or operation.rounds >= ROUNDS or not rest or any(
+                held is not None and held < 0.5 for held in news):
+            operation.rounds = 0
+            return False
+        operation.rounds += 1
+        pair = sorted(rest, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[:2]
+        operation.looking, self.looks[operation] = True, set(pair)
+        for upstream in pair:
+            if not upstream.probing:
+                upstream.probing = True
+                self.core.out.append(("probe", upstream))
+        self.core.later(now + LOOK, self.looked, operation)
+        return True
+
+    def looked(self, now, operation):
+        if self.looks.pop(operation, None) is None:
+            return
+        operation.looking = False
+        if operation.over:
+            return
+        if not operation.dispatches:
+            self.core.gate.take(now, operation)
+        elif not self.take(now, operation) and not operation.out and not operation.looking:
+            self.core.answers.end(now, operation)
+
+    def room(self, now, upstream, operation):
         # Against quick errors, which look idle, drawing all that the crowded ones hold back.
         if upstream.weight < JUDGED and self.core.chance() >= upstream.weight:
             return False
+        held = self.held(now, upstream) if self.sees else None
+        if held is not None:
+            return now + (held + 1) * self.best[operation.grade["number"]] < operation.goal_at
         # Little's law, against burying an upstream and against one that answers nothing filling the balancer;
         # what was given up counts as out, as it still runs there: else one that only times out is refilled.
         out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
@@ -376,12 +425,18 @@
             # Against all balancers reaching beyond their slices at once: want of room is no reason to.
             if usable:
                 break
-        fit, heft = [u for u in usable if self.room(now, u)], self.heft(operation)
+        if self.sees and self.look_first(now, operation, usable):
+            return True
+        fit, heft = [u for u in usable if self.room(now, u, operation)], self.heft(operation)
         # Against a heavy one, dear by its work, on one too slow to do it in time: the quickest of all.
         pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[
             :None if heft > HEAVY else 2]
         # Against quick failures looking idle and so drawing all: each counts as one out for a while.
-        out = {u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
+        if self.sees and any(self.held(now, u) is not None for u in fit):
+            pair = [u for u in fit if self.held(now, u) is not None]
+            out = {u: (1 + self.held(now, u)) * u.slow / u.told for u in pair}
+        else:
+            out = {u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
         chosen = min(pair, default=None, key=lambda u: (
             (out[u] + heft) * u.slow if heft > HEAVY else out[u], u.slow))
         if self.core.notes is not None:
@@ -421,6 +476,10 @@
         upstream.probing, upstream.probe_after = False, now + int((0.5 + self.core.chance()) * S)
         if outcome == FULFILLED:
             self.alive(now, upstream)
+        for operation, asked in list(self.looks.items()):
+            asked.discard(upstream)
+            if not asked:
+                self.looked(now, operation)
 
 
 class Sender(Stage):
@@ -471,6 +530,8 @@
         dispatch = Dispatch(operation, upstream, now)
         operation.dispatches.append(dispatch)
         upstream.pending[dispatch] = True
+        if upstream.report and "in flight" in upstream.report:
+            upstream.report["in flight"] += 1
         operation.out += 1
         self.core.budget.rate.add(now)
         self.core.budget.steady.add(now)
@@ -564,6 +625,8 @@
     @call
     def probed(self, now, upstream, outcome, took, report=None):
         if upstream.times is not None:
+            if report:
+                upstream.report, upstream.report_at = report, now
             self.pick.probed(now, upstream, outcome)
 
     @call
