--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -19,9 +19,9 @@
 RATE_SPAN, STEADY_SPAN = 5 * S, 30 * S  # smoothing of the base load, and of what a warm upstream bears
 OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
 
-SLICE_LEAST, CALLERS = 3, 4
+SLICE_LEAST, WIDE, CALLERS = 3, 8, 4      # at least; at least where connections cost nothing; callers of one
 HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
-AWAY = 0.1                  # weight of another zone's upstream: crossing is dear
+DEAR = 0.013                # price of crossing zones at which another zone's upstream weighs 1/e of the own zone's
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
 QUICK = 2.0                 # times the middle speed that the draw still follows
@@ -49,7 +49,7 @@
     def take(self, now, operation):
         operation.taken = now
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
-        if operation.repeat:
+        if operation.repeat and self.settings.get("marks_repeats"):
             self.inherit(now, operation)
         self.core.later(max(now, operation.not_after - self.lead), self.due, operation)
         if self.wanes(operation):
@@ -312,11 +312,14 @@
 
     def review(self, now):
         core, count = self.core, len(self.ring)
-        width = max(SLICE_LEAST, -(-CALLERS * count // core.balancers))
+        free = self.settings.get("connection_price") == self.settings.get("handshake_price") == 0
+        away = exp(-self.settings.get("crossing_price", 0.0) / DEAR)
+        width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers))
         # Against many callers that each find little out of their own and together bury an upstream.
         self.part = ROOM * count / (core.balancers * max(1, min(count, width)))
         # Against crossing zones: what coverage does not need of the whole ring comes from the own zone's.
-        members, fit, near = {}, 0, min(len(self.home), width - -(-count // core.balancers))
+        members, fit = {}, 0
+        near = min(len(self.home), round((1 - away) * (width - -(-count // core.balancers))))
         for ring, most in (self.home, near), (self.ring, count):
             for step in range(most):
                 # Against a slice that is mostly dead: reach further round.
@@ -337,7 +340,7 @@
             high = (high * upstream.times.weight + middle * 2) / (upstream.times.weight + 2)
             upstream.slow = high * (1 + 4 * fault)
             upstream.near = upstream.told if upstream.zone == self.settings.get("zone", upstream.zone) else (
-                AWAY * upstream.told)
+                away * upstream.told)
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
             upstream.weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
             if upstream.dark_since is not None:
--- a/pepperhook/settings.py
+++ b/pepperhook/settings.py
@@ -13,6 +13,9 @@
 PLAIN = {
     "me": ("me", 1), "groupSize": ("balancers", 1), "tier": ("tier", 1), "locality": ("zone", 1),
     "excessEarnings": ("excess_earnings", 1), "tickUs": ("tick_ns", 1000),
+    "callers.marksRetry": ("marks_repeats", None), "goal.tail": ("tail", 1), "goal.tailSlack": ("tail_slack", 1),
+    "prices.connection": ("connection_price", 1), "prices.handshake": ("handshake_price", 1),
+    "prices.crossZone": ("crossing_price", 1),
     "domain.passesDeadline": ("passes_limit", None),
     "permissions.cancel": ("may_call_off", None), "permissions.probes": ("may_probe", None),
     "permissions.parallelTries": ("may_overlap", None), "permissions.retryAfter": ("may_advise", None),
