--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -33,7 +33,7 @@
 SLACK = 1.4                 # times its limit that a mean of few dispatches may reach by chance
 LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3      # longest wait for what upstreams hold, how long it counts, how often
 AGAIN = 10 * MS             # until what waits at the gate looks again
-OVERDUE = 2.5               # usual times after which a second copy may go
+OVERDUE = 1e6               # usual times after which a second copy may go
 FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
 HOLD = 0.2                  # longest wait at the gate, in goal times
 
@@ -49,23 +49,21 @@
     def take(self, now, operation):
         operation.taken = now
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
-        if operation.repeat and self.settings.get("marks_repeats"):
-            self.inherit(now, operation)
+        self.inherit(now, operation)
         self.core.later(max(now, operation.not_after - self.lead), self.due, operation)
         if self.wanes(operation):
             self.core.later(max(now, operation.goal_at - self.lead), self.give_up, operation)
-        if operation.goal_at - self.lead <= now or not self.inner.take(now, operation):
+        if self.wanes(operation) and operation.goal_at - self.lead <= now or not self.inner.take(now, operation):
             self.end(now, operation)
         return True
 
     def inherit(self, now, operation):
-        # A repeat belongs to its first try: against working for clients whose goal time is long past.
-        earlier = self.unserved[operation.grade["number"]]
-        while earlier:
-            goal_at, ended = earlier.pop()
-            if now - ended < S:
-                operation.goal_at = min(goal_at, operation.goal_at)
-                return
+        # Against working for clients whose goal time is past: a repeat belongs to its first try. It shows by its
+        # time, as a client waits for the grade's limit in all, counted from when that was taken here.
+        begun, grade = operation.not_after - operation.grade["limit_ns"], operation.grade["number"]
+        for first in self.unserved[grade]:
+            if abs(first - begun) < self.lead:
+                operation.taken, operation.goal_at = first, min(first + operation.grade["goal_ns"], operation.goal_at)
 
     def wanes(self, operation):
         return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
@@ -98,7 +96,7 @@
             return
         operation.over = True
         self.core.gate.leave(operation)     # else one whose time was up kept all behind it waiting
-        self.unserved[operation.grade["number"]].append((operation.goal_at, now))
+        self.unserved[operation.grade["number"]].append(operation.taken)
         if self.harmless(operation):
             # Advice is spread out, against all that were shed coming back at once.
             advice = int((0.5 + self.core.chance()) * operation.grade["goal_ns"])
