--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from math import exp, log, sqrt
+from math import ceil, exp, log, sqrt
 from zlib import crc32
 
 from pepperhook.model import (
@@ -20,6 +20,7 @@
 OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
 
 SLICE_LEAST, WIDE, CALLERS = 3, 8, 4      # at least; at least where connections cost nothing; callers of one
+SPREAD = 0.3                # mean out at a member beyond which a slice is wider
 HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
 DEAR = 0.013                # price of crossing zones at which another zone's upstream weighs 1/e of the own zone's
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
@@ -134,6 +135,7 @@
                     self.core.notes.append((operation, "beyond share", rate, quota))
                 value *= self.settings.get("excess_earnings", 1)
         operation.value = value
+        self.core.pick.values.add(now, value)
         if operation.cost:
             self.core.pick.costs[operation.grade["number"]].add(now, operation.cost)
         return self.inner.take(now, operation)
@@ -264,7 +266,8 @@
         # Whether upstreams tell a probe what they hold; operations that wait for such news, and of whom.
         self.sees = self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
             "in flight" in self.settings.get("report_fields", ()))
-        self.looks = {}
+        self.looks, self.out, self.mean_out, self.level_at = {}, 0.0, 0.0, core.now
+        self.crowd, self.values = 0.0, Sums(RATE_SPAN, core.now)
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
     def heft(self, operation):
@@ -277,6 +280,9 @@
     def usual(self, grade):
         return max(MS, self.grades[grade["number"]].mean(self.core.now, 0.2 * grade["goal_ns"], 2))
 
+    def usual_out(self, now):
+        return sum(g.fade(now).total for g in self.grades) / max(1.0, sum(g.weight for g in self.grades)) / S
+
     def utilisation(self, now):
         known = [u.report["utilisation"] for u in self.members if now - u.report_at < FRESH and u.report
                  and "utilisation" in u.report]
@@ -312,7 +318,9 @@
         core, count = self.core, len(self.ring)
         free = self.settings.get("connection_price") == self.settings.get("handshake_price") == 0
         away = exp(-self.settings.get("crossing_price", 0.0) / DEAR)
-        width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers))
+        # Against one that carries many times its fellows' load burying its few: by Little's law, what it has out.
+        self.out = max(0.98 * self.out, core.budget.rate.rate(now) * self.usual_out(now))
+        width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers), ceil(self.out / SPREAD))
         # Against many callers that each find little out of their own and together bury an upstream.
         self.part = ROOM * count / (core.balancers * max(1, min(count, width)))
         # Against crossing zones: what coverage does not need of the whole ring comes from the own zone's.
@@ -409,14 +417,19 @@
         limit = max(self.part, done.total / done.span)
         # Against many callers whose part is under one and who would each round it up: it holds for the mean,
         # not tightly, as few dispatches make a mean high by chance.
-        return out < limit and (limit >= 1 or self.level(now, upstream) < SLACK * limit)
-
-    def level(self, now, upstream):
-        """The mean of what is out there, fading; to be brought up to date before that changes."""
-        out = len(upstream.pending) + upstream.ghosts.fade(now).weight
-        keep = exp((upstream.level_at - now) / DONE_SPAN)
-        upstream.level, upstream.level_at = out + (upstream.level - out) * keep, now
-        return upstream.level
+        # Against cheap ones taking what dear ones want, where too few wait at a gate to be put in order.
+        ease = min(2.0, max(0.5, operation.value / self.values.mean(now, operation.value, 1)))
+        if self.crowd < 1.4 * ease:
+            return out < max(limit, 1)
+        return out < limit and (limit >= 1 or self.level(now) < SLACK * ease * max(
+            self.part * len(self.members), sum(u.done.fade(now).total / u.done.span for u in self.members)))
+
+    def level(self, now):
+        """The mean of all that is out, fading; to be brought up to date before that changes."""
+        out = sum(len(u.pending) + u.ghosts.fade(now).weight for u in self.members)
+        keep = exp((self.level_at - now) / DONE_SPAN)
+        self.mean_out, self.level_at = out + (self.mean_out - out) * keep, now
+        return self.mean_out
 
     def take(self, now, operation):
         tried = [d.upstream for d in operation.dispatches]
@@ -448,6 +461,9 @@
 
     def ended(self, now, dispatch):
         upstream, grade, outcome = dispatch.upstream, dispatch.operation.grade, dispatch.outcome
+        if outcome in (FULFILLED, TIMED_OUT):
+            short = min(CROWD * dispatch.operation.grade["goal_ns"], QUEUED * self.best[grade["number"]])
+            self.crowd += 0.1 * (min(3.0, dispatch.took / short) - self.crowd)
         if outcome == FULFILLED:
             upstream.times.add(now, log(max(1, dispatch.took) / self.expected(dispatch.operation)))
             self.grades[grade["number"]].add(now, dispatch.took)
@@ -527,7 +543,7 @@
             return False
         if upstream.warm_from is not None:
             upstream.allowance -= 1
-        self.core.pick.level(now, upstream)
+        self.core.pick.level(now)
         dispatch = Dispatch(operation, upstream, now)
         operation.dispatches.append(dispatch)
         upstream.pending[dispatch] = True
@@ -543,7 +559,7 @@
 
     def ended(self, now, dispatch):
         dispatch.operation.out -= 1
-        self.core.pick.level(now, dispatch.upstream)
+        self.core.pick.level(now)
         dispatch.upstream.pending.pop(dispatch)
         self.outer.ended(now, dispatch)
 
