--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -33,7 +33,8 @@
 ROOM = 3                    # dispatches that all callers together may always have out at an upstream
 SLACK = 1.4                 # times its limit that a mean of few dispatches may reach by chance
 LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3      # longest wait for what upstreams hold, how long it counts, how often
-AGAIN = 10 * MS             # until what waits at the gate looks again
+AGAIN = 20 * MS             # until what waits at the gate looks again
+SURE = 1.25                 # times the expected time that must be left to the goal
 OVERDUE = 1e6               # usual times after which a second copy may go
 FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
 HOLD = 0.2                  # longest wait at the gate, in goal times
@@ -146,7 +147,7 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.queue = []
+        self.queue, self.due = [], False
 
     def take(self, now, operation):
         if not self.queue and self.inner.take(now, operation):
@@ -158,7 +159,11 @@
             self.core.notes.append((operation, "waits", self.queue.index(operation), len(self.queue)))
         self.core.later(max(now, operation.taken + int(HOLD * operation.grade["goal_ns"])), self.drop, operation)
         if self.core.pick.sees:
-            self.core.later(now + AGAIN, self.retry, None)
+            # Against asking again at once those who have just said that they are busy.
+            if not self.due:
+                self.due = True
+                self.core.later(now + AGAIN, self.again, None)
+            return True
         self.release(now)
         while len(self.queue) > 2 * max(1, len(self.core.pick.members)):
             if self.core.notes is not None:
@@ -177,8 +182,11 @@
                 self.core.notes.append((operation, "waited in vain"))
             self.core.answers.end(now, operation)
 
-    def retry(self, now, _):
-        self.release(now)
+    def again(self, now, _):
+        self.due = bool(self.queue)
+        if self.due:
+            self.core.later(now + AGAIN, self.again, None)
+            self.release(now)
 
     def release(self, now):
         while self.queue and self.inner.take(now, self.queue[0]):
@@ -186,7 +194,8 @@
 
     def ended(self, now, dispatch):
         self.outer.ended(now, dispatch)
-        self.release(now)
+        if not self.core.pick.sees:
+            self.release(now)
 
 
 class Budget(Stage):
@@ -408,17 +417,18 @@
         # Against quick errors, which look idle, drawing all that the crowded ones hold back.
         if upstream.weight < JUDGED and self.core.chance() >= upstream.weight:
             return False
+        # Against cheap ones taking what dear ones want, where too few wait at a gate to be put in order.
+        ease = min(2.0, max(0.5, operation.value / self.values.mean(now, operation.value, 1)))
         held = self.held(now, upstream) if self.sees else None
         if held is not None:
-            return now + (held + 1) * self.best[operation.grade["number"]] < operation.goal_at
+            needed = SURE * (held + 1) * self.best[operation.grade["number"]]
+            return now + needed / min(1.0, ease) < operation.goal_at
         # Little's law, against burying an upstream and against one that answers nothing filling the balancer;
         # what was given up counts as out, as it still runs there: else one that only times out is refilled.
         out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
         limit = max(self.part, done.total / done.span)
         # Against many callers whose part is under one and who would each round it up: it holds for the mean,
         # not tightly, as few dispatches make a mean high by chance.
-        # Against cheap ones taking what dear ones want, where too few wait at a gate to be put in order.
-        ease = min(2.0, max(0.5, operation.value / self.values.mean(now, operation.value, 1)))
         if self.crowd < 1.4 * ease:
             return out < max(limit, 1)
         return out < limit and (limit >= 1 or self.level(now) < SLACK * ease * max(
@@ -605,7 +615,8 @@
     def review(self, now, _):
         self.later(now + REVIEW, self.review, None)
         self.pick.review(now)
-        self.gate.release(now)
+        if not self.pick.sees:
+            self.gate.release(now)
 
     @call
     def listing(self, now, whole, rows):
