--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -62,10 +62,11 @@
     def inherit(self, now, operation):
         # Against working for clients whose goal time is past: a repeat belongs to its first try. It shows by its
         # time, as a client waits for the grade's limit in all, counted from when that was taken here.
-        begun, grade = operation.not_after - operation.grade["limit_ns"], operation.grade["number"]
-        for first in self.unserved[grade]:
-            if abs(first - begun) < self.lead:
-                operation.taken, operation.goal_at = first, min(first + operation.grade["goal_ns"], operation.goal_at)
+        begun, firsts = operation.not_after - operation.grade["limit_ns"], self.unserved[operation.grade["number"]]
+        marked = [first for first in firsts if now - first < operation.grade["limit_ns"]][-1:]
+        for first in [first for first in firsts if abs(first - begun) < self.lead] or (
+                marked if operation.repeat and self.settings.get("marks_repeats") else ()):
+            operation.taken, operation.goal_at = first, min(first + operation.grade["goal_ns"], operation.goal_at)
 
     def wanes(self, operation):
         return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
@@ -158,13 +159,12 @@
         if self.core.notes is not None:
             self.core.notes.append((operation, "waits", self.queue.index(operation), len(self.queue)))
         self.core.later(max(now, operation.taken + int(HOLD * operation.grade["goal_ns"])), self.drop, operation)
-        if self.core.pick.sees:
-            # Against asking again at once those who have just said that they are busy.
-            if not self.due:
-                self.due = True
-                self.core.later(now + AGAIN, self.again, None)
-            return True
-        self.release(now)
+        # Against asking again at once those who have just said that they are busy.
+        if not self.core.pick.sees:
+            self.release(now)
+        elif not self.due:
+            self.due = True
+            self.core.later(now + AGAIN, self.again, None)
         while len(self.queue) > 2 * max(1, len(self.core.pick.members)):
             if self.core.notes is not None:
                 self.core.notes.append((self.queue[-1], "least worth", len(self.queue)))
