--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -35,7 +35,6 @@
 LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3      # longest wait for what upstreams hold, how long it counts, how often
 AGAIN = 20 * MS             # until what waits at the gate looks again
 SURE = 1.25                 # times the expected time that must be left to the goal
-OVERDUE = 1e6               # usual times after which a second copy may go
 FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
 HOLD = 0.2                  # longest wait at the gate, in goal times
 
@@ -111,8 +110,6 @@
     def ended(self, now, dispatch):
         if not dispatch.operation.out and not dispatch.operation.waiting and not dispatch.operation.looking:
             self.end(now, dispatch.operation)
-        elif dispatch.operation.over and self.settings.get("may_call_off"):
-            self.call_off(dispatch.operation)
 
 
 class Shares(Stage):
@@ -235,7 +232,7 @@
 
     def lone(self, dispatch):
         # Against failures of one upstream with sound fellows, or answers lost on the way, taken for overload.
-        return dispatch.upstream.faulty or dispatch.outcome in (None, SPOILT, RESET, UNCONNECTED)
+        return dispatch.upstream.faulty or dispatch.outcome in (SPOILT, RESET, UNCONNECTED)
 
     def ended(self, now, dispatch):
         operation, number, outcome = dispatch.operation, dispatch.operation.grade["number"], dispatch.outcome
@@ -248,22 +245,11 @@
             if not lone and not (others and self.grades[number] > HIGH_F and max(others) < LOW_F):
                 self.f += 0.1 * (failed - self.f)
             open_still = failed and not operation.over and not operation.out and not operation.looking
-            if open_still and self.again(now, dispatch):
+            if open_still and self.granted(now, dispatch) and self.take(now, operation):
+                self.B = max(0.0, self.B - 1 / max(1.0, self.rate.rate(now)))
                 return
         self.outer.ended(now, dispatch)
 
-    def again(self, now, dispatch):
-        if not self.granted(now, dispatch) or not self.take(now, dispatch.operation):
-            return False
-        self.B = max(0.0, self.B - 1 / max(1.0, self.rate.rate(now)))
-        return True
-
-    def overdue(self, now, dispatch):
-        # Against a mute upstream costing the whole operation: a second copy, on the budget.
-        if dispatch.outcome is None and not dispatch.operation.over and dispatch.operation.out == 1 and (
-                not dispatch.operation.looking):
-            self.again(now, dispatch)
-
 
 class Pick(Stage):
     """A slice by own index, then the less busy of two random members; sick and cold ones are passed over."""
@@ -410,7 +396,7 @@
             return
         if not operation.dispatches:
             self.core.gate.take(now, operation)
-        elif not self.take(now, operation) and not operation.out and not operation.looking:
+        elif not self.take(now, operation):
             self.core.answers.end(now, operation)
 
     def room(self, now, upstream, operation):
@@ -563,8 +549,6 @@
         self.core.budget.rate.add(now)
         self.core.budget.steady.add(now)
         self.core.out.append(("dispatch", dispatch, operation.not_after - now))
-        if self.settings.get("may_overlap"):
-            self.core.later(now + int(OVERDUE * self.core.pick.expected(operation)), self.core.budget.overdue, dispatch)
         return True
 
     def ended(self, now, dispatch):
@@ -649,6 +633,8 @@
     def left(self, now, operation):
         operation.over = True
         self.gate.leave(operation)
+        if self.answers.wanes(operation):
+            self.answers.call_off(operation)
 
     @call
     def probed(self, now, upstream, outcome, took, report=None):
