--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -28,6 +28,7 @@
 QUICK = 2.0                 # times the middle speed that the draw still follows
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 SURPRISE = 0.7              # an unanswered dispatch tells of slowness once out for e to this usual times
+UNASKED = 5 * S             # mean time for which one that refused a connection is left alone where nothing may probe
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 ROOM = 3                    # dispatches that all callers together may always have out at an upstream
@@ -360,7 +361,11 @@
 
     def look(self, now, upstream):
         due, may = now >= upstream.probe_after, self.settings.get("may_probe")
-        upstream.weight = TRICKLE if due and not may else 0.0
+        if due and not may:
+            # Against never asking again one that the list does not tell of: it gets an operation now and then.
+            upstream.dark_since = None
+            return
+        upstream.weight = 0.0
         if due and may and not upstream.probing:
             upstream.probing = True
             self.core.out.append(("probe", upstream))
@@ -474,7 +479,8 @@
         if outcome not in (CALLED_OFF, MOOT):
             upstream.faults.add(now, outcome not in (FULFILLED, TIMED_OUT))
             if outcome == UNCONNECTED and upstream.dark_since is None:
-                upstream.dark_since, upstream.probe_after, upstream.weight = now, now + 100 * MS, 0.0
+                wait = 100 * MS if self.settings.get("may_probe") else int((0.5 + self.core.chance()) * UNASKED)
+                upstream.dark_since, upstream.probe_after, upstream.weight = now, now + wait, 0.0
             elif outcome not in (UNCONNECTED, TIMED_OUT):
                 self.alive(now, upstream)
         self.outer.ended(now, dispatch)
