--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -28,6 +28,7 @@
 QUICK = 2.0                 # times the middle speed that the draw still follows
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 SURPRISE = 0.7              # an unanswered dispatch tells of slowness once out for e to this usual times
+KEPT = 60 * S               # for which one that is gone keeps its place on the ring
 UNASKED = 5 * S             # mean time for which one that refused a connection is left alone where nothing may probe
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
@@ -257,7 +258,7 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.listed, self.ring, self.home, self.members, self.part = {}, [], [], [], 1.0
+        self.listed, self.seen, self.ring, self.home, self.members, self.part = {}, {}, [], [], [], 1.0
         self.best = [grade["goal_ns"] for grade in self.settings["grades"]]
         # Whether upstreams tell a probe what they hold; operations that wait for such news, and of whom.
         self.sees = self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
@@ -296,7 +297,9 @@
             upstream.state = state
             self.listed[upstream] = True
         self.listed = {u: True for u in self.listed if u.state != GONE}
-        self.ring = sorted((u for u in self.listed if u.state == READY), key=lambda u: crc32(u.address))
+        # Against every slice moving, with all its connections, when a zone is lost: what is gone keeps its place.
+        self.seen = {u: at for u, at in self.seen.items() if now - at < KEPT} | dict.fromkeys(self.listed, now)
+        self.ring = sorted(self.seen, key=lambda u: crc32(u.address))
         self.home = [u for u in self.ring if u.zone == self.settings.get("zone", u.zone)]
         self.review(now)
 
@@ -311,23 +314,26 @@
         upstream.warm_from, upstream.allowed_at, upstream.allowance = since, now, self.core.chance()
 
     def review(self, now):
-        core, count = self.core, len(self.ring)
+        core, count = self.core, sum(u.state == READY for u in self.ring)
         free = self.settings.get("connection_price") == self.settings.get("handshake_price") == 0
         away = exp(-self.settings.get("crossing_price", 0.0) / DEAR)
         # Against one that carries many times its fellows' load burying its few: by Little's law, what it has out.
         self.out = max(0.98 * self.out, core.budget.rate.rate(now) * self.usual_out(now))
-        width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers), ceil(self.out / SPREAD))
+        width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers),
+                    -(-len(self.ring) // core.balancers), ceil(self.out / SPREAD))
         # Against many callers that each find little out of their own and together bury an upstream.
         self.part = ROOM * count / (core.balancers * max(1, min(count, width)))
         # Against crossing zones: what coverage does not need of the whole ring comes from the own zone's.
         members, fit = {}, 0
         near = min(len(self.home), round((1 - away) * (width - -(-count // core.balancers))))
         for ring, most in (self.home, near), (self.ring, count):
-            for step in range(most):
+            for step in range(len(ring)):
                 # Against a slice that is mostly dead: reach further round.
-                if len(members) >= width and fit >= SLICE_LEAST:
+                if len(members) >= most or len(members) >= width and fit >= SLICE_LEAST:
                     break
                 upstream = ring[(core.index * len(ring) // core.balancers + step) % len(ring)]
+                if upstream.state != READY:
+                    continue
                 fit += upstream not in members and upstream.dark_since is None
                 members[upstream] = True
         self.members = list(members)
