--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -17,10 +17,10 @@
 
 B0, ALPHA, BETA, HIGH_F, LOW_F, T = 0.2, 0.1, 0.5, 0.3, 0.05, S
 RATE_SPAN, STEADY_SPAN = 5 * S, 30 * S  # smoothing of the base load, and of what a warm upstream bears
-OVERLOAD_UTIL, OVERLOAD_REFUSED, FRESH = 0.9, 0.1, 3 * S
+OVERLOAD_REFUSED = 0.1
 
 SLICE_LEAST, WIDE, CALLERS = 3, 8, 4      # at least; at least where connections cost nothing; callers of one
-SPREAD = 0.3                # mean out at a member beyond which a slice is wider
+SPREAD = 0.7                # mean out at a member beyond which a slice is wider
 HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
 DEAR = 0.013                # price of crossing zones at which another zone's upstream weighs 1/e of the own zone's
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
@@ -209,8 +209,7 @@
         core.later(core.now + T, self.adjust, None)
 
     def overloaded(self, now):
-        util = self.core.pick.utilisation(now)
-        return self.refused.mean(now, 0, 5) > OVERLOAD_REFUSED if util is None else util > OVERLOAD_UTIL
+        return self.refused.mean(now, 0, 5) > OVERLOAD_REFUSED
 
     def adjust(self, now, _):
         self.core.later(now + T, self.adjust, None)
@@ -277,14 +276,6 @@
     def usual(self, grade):
         return max(MS, self.grades[grade["number"]].mean(self.core.now, 0.2 * grade["goal_ns"], 2))
 
-    def usual_out(self, now):
-        return sum(g.fade(now).total for g in self.grades) / max(1.0, sum(g.weight for g in self.grades)) / S
-
-    def utilisation(self, now):
-        known = [u.report["utilisation"] for u in self.members if now - u.report_at < FRESH and u.report
-                 and "utilisation" in u.report]
-        return sum(known) / len(known) if len(known) * 2 > len(self.members) else None
-
     def listing(self, now, whole, rows):
         rows = [(u, GONE, u.launched) for u in self.listed if whole] + rows
         for upstream, state, launched in rows:
@@ -317,8 +308,8 @@
         core, count = self.core, sum(u.state == READY for u in self.ring)
         free = self.settings.get("connection_price") == self.settings.get("handshake_price") == 0
         away = exp(-self.settings.get("crossing_price", 0.0) / DEAR)
-        # Against one that carries many times its fellows' load burying its few: by Little's law, what it has out.
-        self.out = max(0.98 * self.out, core.budget.rate.rate(now) * self.usual_out(now))
+        # Against one that carries many times its fellows' load burying its few.
+        self.out = max(0.98 * self.out, core.budget.rate.rate(now) * max(self.best) / S)
         width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers),
                     -(-len(self.ring) // core.balancers), ceil(self.out / SPREAD))
         # Against many callers that each find little out of their own and together bury an upstream.
