--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -95,7 +95,6 @@
         self.faults = None          # Sums of 0 or 1
         self.done = None            # Sums of the goal times of what it fulfilled
         self.ghosts = None          # Sums of what was given up and may still run there
-        self.level, self.level_at = 0.0, 0      # mean of what is out
         self.faulty = False         # failing while its fellows do not
         self.slow, self.near = 1.0, 1.0
         self.told = 1.0             # times its chance to be drawn, by operators' word
@@ -106,9 +105,12 @@
         self.allowance = 0.0        # dispatches it may be sent while cold
         self.allowed_at = 0
         self.weight = 1.0           # chance to be considered when drawn
-        self.answered = 0           # when it last answered anything
         self.report, self.report_at = None, 0
 
+    def heard(self, now, report):
+        if report:
+            self.report, self.report_at = report, now
+
 
 class Operation:
     """What a client asked for; it ends with exactly one final answer."""
@@ -153,6 +155,12 @@
         self.outer.ended(now, dispatch)
 
 
+def place(settings):
+    """How many balancers there are, and which of them this is."""
+    balancers = max(1, settings.get("balancers", 1))
+    return balancers, settings.get("me", 0) % balancers
+
+
 def chain(stages):
     """Joins stages, the outermost first."""
     stages = list(stages)
@@ -189,6 +197,10 @@
         # Twice, through digits: one CRC is linear, so near counters would give chances that go together.
         return crc32(b"%d" % crc32(b"%d %d" % (self.seed, self.counter))) / 2 ** 32
 
+    def note(self, *reason):
+        if self.notes is not None:
+            self.notes.append(reason)
+
     def later(self, at, what, about):
         self.counter += 1
         heappush(self.agenda, (at, self.counter, what, about))
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -10,7 +10,7 @@
 
 from pepperhook.model import (
     CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RESET, RETRIABLE, SPOILT, TIMED_OUT,
-    UNCONNECTED, Clockwork, Dispatch, Missing, Stage, Sums, call, chain)
+    UNCONNECTED, Clockwork, Dispatch, Missing, Stage, Sums, call, chain, place)
 
 MS, S = 1_000_000, 1_000_000_000
 REVIEW = 200 * MS           # how often upstreams are judged afresh
@@ -22,20 +22,18 @@
 SLICE_LEAST, WIDE, CALLERS = 3, 8, 4      # at least; at least where connections cost nothing; callers of one
 SPREAD = 0.7                # mean out at a member beyond which a slice is wider
 HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
-DEAR = 0.013                # price of crossing zones at which another zone's upstream weighs 1/e of the own zone's
+DEAR = 0.013                # price of crossing zones at which another zone's upstream weighs 1/e of an own one
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
 QUICK = 2.0                 # times the middle speed that the draw still follows
 TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
 SURPRISE = 0.7              # an unanswered dispatch tells of slowness once out for e to this usual times
-KEPT = 60 * S               # for which one that is gone keeps its place on the ring
-UNASKED = 5 * S             # mean time for which one that refused a connection is left alone where nothing may probe
+KEPT, UNASKED = 60 * S, 5 * S   # how long what is gone keeps its place, and what refused is left alone unprobed
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 ROOM = 3                    # dispatches that all callers together may always have out at an upstream
 SLACK = 1.4                 # times its limit that a mean of few dispatches may reach by chance
-LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3      # longest wait for what upstreams hold, how long it counts, how often
-AGAIN = 20 * MS             # until what waits at the gate looks again
+LOOK, SEEN, ROUNDS, AGAIN = 4 * MS, 8 * MS, 3, 20 * MS  # wait for a look, how long it counts, how often, until more
 SURE = 1.25                 # times the expected time that must be left to the goal
 FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
 HOLD = 0.2                  # longest wait at the gate, in goal times
@@ -54,34 +52,32 @@
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
         self.inherit(now, operation)
         self.core.later(max(now, operation.not_after - self.lead), self.due, operation)
-        if self.wanes(operation):
-            self.core.later(max(now, operation.goal_at - self.lead), self.give_up, operation)
-        if self.wanes(operation) and operation.goal_at - self.lead <= now or not self.inner.take(now, operation):
+        late_at = operation.goal_at - self.lead if self.wanes(operation) else operation.not_after
+        self.core.later(max(now, late_at), self.give_up, operation)
+        if late_at <= now or not self.inner.take(now, operation):
             self.end(now, operation)
         return True
 
     def inherit(self, now, operation):
-        # Against working for clients whose goal time is past: a repeat belongs to its first try. It shows by its
-        # time, as a client waits for the grade's limit in all, counted from when that was taken here.
-        begun, firsts = operation.not_after - operation.grade["limit_ns"], self.unserved[operation.grade["number"]]
-        marked = [first for first in firsts if now - first < operation.grade["limit_ns"]][-1:]
-        for first in [first for first in firsts if abs(first - begun) < self.lead] or (
-                marked if operation.repeat and self.settings.get("marks_repeats") else ()):
-            operation.taken, operation.goal_at = first, min(first + operation.grade["goal_ns"], operation.goal_at)
+        # Against work past the goal: a repeat, told by its time or mark, has its first try's. A client waits for the
+        # grade's limit in all; only where it comes back to the same balancer is anything found here.
+        grade, marked = operation.grade, operation.repeat and self.settings.get("marks_repeats")
+        firsts = [first for first in self.unserved[grade["number"]] if now - first < grade["limit_ns"]]
+        told = [first for first in firsts if abs(first + grade["limit_ns"] - operation.not_after) < self.lead]
+        for first in told or (firsts[-1:] if marked else ()):
+            operation.taken, operation.goal_at = first, min(first + grade["goal_ns"], operation.goal_at)
 
     def wanes(self, operation):
         return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
 
     def give_up(self, now, operation):
         # Against what can earn nothing any more keeping its upstream busy and its client waiting.
-        if not operation.over and not operation.streaming and self.harmless(operation):
+        if self.wanes(operation) and not operation.over and not operation.streaming and self.harmless(operation):
             self.call_off(operation)
             self.end(now, operation)
 
     def call_off(self, operation):
-        for dispatch in operation.dispatches:
-            if dispatch.outcome is None:
-                self.core.out.append(("call off", dispatch))
+        self.core.out.extend(("call off", d) for d in operation.dispatches if d.outcome is None)
 
     def harmless(self, operation):
         grade = operation.grade
@@ -90,9 +86,8 @@
 
     def due(self, now, operation):
         # Against an operation kept with nothing out; a dispatch that is out ends at the time limit by itself.
-        if not operation.out and not operation.streaming:
-            if self.core.notes is not None and not operation.over:
-                self.core.notes.append((operation, "time up"))
+        if not operation.out and not operation.streaming and not operation.over:
+            self.core.note(operation, "time up")
             self.end(now, operation)
 
     def end(self, now, operation):
@@ -132,8 +127,7 @@
             asked.add(now)
             quota = self.settings["customers"][operation.customer]["quota"] / self.core.balancers
             if quota and self.core.chance() * rate > quota:
-                if self.core.notes is not None:
-                    self.core.notes.append((operation, "beyond share", rate, quota))
+                self.core.note(operation, "beyond share", rate, quota)
                 value *= self.settings.get("excess_earnings", 1)
         operation.value = value
         self.core.pick.values.add(now, value)
@@ -155,18 +149,15 @@
         operation.waiting = True
         self.queue.append(operation)
         self.queue.sort(key=lambda kept: (-kept.value, kept.taken))
-        if self.core.notes is not None:
-            self.core.notes.append((operation, "waits", self.queue.index(operation), len(self.queue)))
-        self.core.later(max(now, operation.taken + int(HOLD * operation.grade["goal_ns"])), self.drop, operation)
-        # Against asking again at once those who have just said that they are busy.
-        if not self.core.pick.sees:
-            self.release(now)
-        elif not self.due:
+        self.core.note(operation, "waits", self.queue.index(operation), len(self.queue))
+        until = operation.taken + int(HOLD * operation.grade["goal_ns"])
+        self.core.later(max(now, until), self.drop, operation)
+        self.release(now)
+        if self.core.pick.sees and not self.due:
             self.due = True
             self.core.later(now + AGAIN, self.again, None)
         while len(self.queue) > 2 * max(1, len(self.core.pick.members)):
-            if self.core.notes is not None:
-                self.core.notes.append((self.queue[-1], "least worth", len(self.queue)))
+            self.core.note(self.queue[-1], "least worth", len(self.queue))
             self.core.answers.end(now, self.queue[-1])
         return True
 
@@ -177,24 +168,23 @@
 
     def drop(self, now, operation):
         if operation.waiting:
-            if self.core.notes is not None:
-                self.core.notes.append((operation, "waited in vain"))
+            self.core.note(operation, "waited in vain")
             self.core.answers.end(now, operation)
 
     def again(self, now, _):
         self.due = bool(self.queue)
         if self.due:
             self.core.later(now + AGAIN, self.again, None)
-            self.release(now)
+        self.release(now, again=True)
 
-    def release(self, now):
-        while self.queue and self.inner.take(now, self.queue[0]):
+    def release(self, now, again=False):
+        # Against asking at once those who have just said that they are busy.
+        while self.queue and (again or not self.core.pick.sees) and self.inner.take(now, self.queue[0]):
             self.leave(self.queue[0])
 
     def ended(self, now, dispatch):
         self.outer.ended(now, dispatch)
-        if not self.core.pick.sees:
-            self.release(now)
+        self.release(now)
 
 
 class Budget(Stage):
@@ -227,8 +217,7 @@
         if why is None:
             drawn = self.core.chance()
             why = "granted" if drawn < most else "chance"
-        if self.core.notes is not None:
-            self.core.notes.append((operation, "again", why, drawn, most, self.B, self.f))
+        self.core.note(operation, "again", why, drawn, most, self.B, self.f)
         return why == "granted"
 
     def lone(self, dispatch):
@@ -288,8 +277,9 @@
             upstream.state = state
             self.listed[upstream] = True
         self.listed = {u: True for u in self.listed if u.state != GONE}
-        # Against every slice moving, with all its connections, when a zone is lost: what is gone keeps its place.
-        self.seen = {u: at for u, at in self.seen.items() if now - at < KEPT} | dict.fromkeys(self.listed, now)
+        # Against every slice moving, with its connections, when a zone is lost: what is gone keeps its place.
+        kept = {u: at for u, at in self.seen.items() if now - at < KEPT}
+        self.seen = kept | dict.fromkeys(self.listed, now)
         self.ring = sorted(self.seen, key=lambda u: crc32(u.address))
         self.home = [u for u in self.ring if u.zone == self.settings.get("zone", u.zone)]
         self.review(now)
@@ -338,12 +328,20 @@
             # Against one of which little is known yet being held slow for that.
             high = (high * upstream.times.weight + middle * 2) / (upstream.times.weight + 2)
             upstream.slow = high * (1 + 4 * fault)
-            upstream.near = upstream.told if upstream.zone == self.settings.get("zone", upstream.zone) else (
-                away * upstream.told)
+            own = upstream.zone == self.settings.get("zone", upstream.zone)
+            upstream.near = upstream.told * (1 if own else away)
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
             upstream.weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
-            if upstream.dark_since is not None:
-                self.look(now, upstream)
+            if upstream.dark_since is None:
+                continue
+            asks, due = self.settings.get("may_probe"), now >= upstream.probe_after
+            if due and asks:
+                self.probe(upstream)
+            # Against never asking again one that the list tells nothing of, where nothing may be probed.
+            if due and not asks:
+                upstream.dark_since = None
+            else:
+                upstream.weight = 0.0
 
     def high(self, now, upstream):
         """A high quantile of its answer times, in usual times; what is long out counts as answered now."""
@@ -356,37 +354,29 @@
         mean = total / weight
         return exp(mean + sqrt(max(0.0, squares / weight - mean * mean)))
 
-    def look(self, now, upstream):
-        due, may = now >= upstream.probe_after, self.settings.get("may_probe")
-        if due and not may:
-            # Against never asking again one that the list does not tell of: it gets an operation now and then.
-            upstream.dark_since = None
-            return
-        upstream.weight = 0.0
-        if due and may and not upstream.probing:
+    def probe(self, upstream):
+        if not upstream.probing:
             upstream.probing = True
             self.core.out.append(("probe", upstream))
 
+    def drawn(self, upstreams):
+        return sorted(upstreams, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))
+
     def held(self, now, upstream):
         """What it told just now that it holds; None: nothing."""
         return upstream.report["in flight"] if upstream.report and now - upstream.report_at < SEEN else None
 
     def look_first(self, now, operation, usable):
-        """Against own dispatches telling nothing where each balancer sends few: two are asked what they hold, and
-        two more while none is idle."""
-        news = [self.held(now, u) for u in usable]
-        rest = [u for u, held in zip(usable, news) if held is None]
-        if operation.looking or operation.rounds >= ROUNDS or not rest or any(
-                held is not None and held < 0.5 for held in news):
+        """Against own dispatches telling nothing where each sends few: two are asked, two more if none is idle."""
+        rest = [u for u in usable if self.held(now, u) is None]
+        idle = any(u not in rest and self.held(now, u) < 0.5 for u in usable)
+        if operation.looking or operation.rounds >= ROUNDS or not rest or idle:
             operation.rounds = 0
             return False
-        operation.rounds += 1
-        pair = sorted(rest, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[:2]
-        operation.looking, self.looks[operation] = True, set(pair)
+        pair = self.drawn(rest)[:2]
+        operation.rounds, operation.looking, self.looks[operation] = operation.rounds + 1, True, set(pair)
         for upstream in pair:
-            if not upstream.probing:
-                upstream.probing = True
-                self.core.out.append(("probe", upstream))
+            self.probe(upstream)
         self.core.later(now + LOOK, self.looked, operation)
         return True
 
@@ -394,11 +384,8 @@
         if self.looks.pop(operation, None) is None:
             return
         operation.looking = False
-        if operation.over:
-            return
-        if not operation.dispatches:
-            self.core.gate.take(now, operation)
-        elif not self.take(now, operation):
+        take = self.take if operation.dispatches else self.core.gate.take
+        if not operation.over and not take(now, operation):
             self.core.answers.end(now, operation)
 
     def room(self, now, upstream, operation):
@@ -411,12 +398,10 @@
         if held is not None:
             needed = SURE * (held + 1) * self.best[operation.grade["number"]]
             return now + needed / min(1.0, ease) < operation.goal_at
-        # Little's law, against burying an upstream and against one that answers nothing filling the balancer;
-        # what was given up counts as out, as it still runs there: else one that only times out is refilled.
+        # Little's law, against burying one, or one that only times out: what was given up still runs there.
         out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
         limit = max(self.part, done.total / done.span)
-        # Against many callers whose part is under one and who would each round it up: it holds for the mean,
-        # not tightly, as few dispatches make a mean high by chance.
+        # Against many callers who each round a part up: it holds, loosely, for the mean while answers are slow.
         if self.crowd < 1.4 * ease:
             return out < max(limit, 1)
         return out < limit and (limit >= 1 or self.level(now) < SLACK * ease * max(
@@ -441,20 +426,17 @@
             return True
         fit, heft = [u for u in usable if self.room(now, u, operation)], self.heft(operation)
         # Against a heavy one, dear by its work, on one too slow to do it in time: the quickest of all.
-        pair = sorted(fit, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))[
-            :None if heft > HEAVY else 2]
+        pair = self.drawn(fit)[:None if heft > HEAVY else 2]
         # Against quick failures looking idle and so drawing all: each counts as one out for a while.
+        out = {u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
         if self.sees and any(self.held(now, u) is not None for u in fit):
-            pair = [u for u in fit if self.held(now, u) is not None]
-            out = {u: (1 + self.held(now, u)) * u.slow / u.told for u in pair}
-        else:
-            out = {u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
-        chosen = min(pair, default=None, key=lambda u: (
+            out = {u: (1 + self.held(now, u)) * u.slow / u.told for u in fit if self.held(now, u) is not None}
+        chosen = min(out, default=None, key=lambda u: (
             (out[u] + heft) * u.slow if heft > HEAVY else out[u], u.slow))
         if self.core.notes is not None:
             where = "slice" if upstreams is self.members else "ring"
             self.core.notes.append((operation, "drawn", where, len(usable), len(fit), [
-                (u.address, u.weight * u.near, out[u], u.slow) for u in pair]))
+                (u.address, u.weight * u.near, out[u], u.slow) for u in out]))
         return chosen is not None and self.inner.send(now, operation, chosen)
 
     def ended(self, now, dispatch):
@@ -476,8 +458,8 @@
         if outcome not in (CALLED_OFF, MOOT):
             upstream.faults.add(now, outcome not in (FULFILLED, TIMED_OUT))
             if outcome == UNCONNECTED and upstream.dark_since is None:
-                wait = 100 * MS if self.settings.get("may_probe") else int((0.5 + self.core.chance()) * UNASKED)
-                upstream.dark_since, upstream.probe_after, upstream.weight = now, now + wait, 0.0
+                wait = 100 * MS if self.settings.get("may_probe") else (0.5 + self.core.chance()) * UNASKED
+                upstream.dark_since, upstream.probe_after, upstream.weight = now, now + int(wait), 0.0
             elif outcome not in (UNCONNECTED, TIMED_OUT):
                 self.alive(now, upstream)
         self.outer.ended(now, dispatch)
@@ -521,10 +503,8 @@
 
     def may(self, now, operation, upstream):
         if operation.over or operation.streaming or now >= operation.not_after or upstream.state != READY or (
-                operation.out and not self.settings.get("may_overlap")) or self.core.discovery.silent(now):
-            return False
-        if len(operation.dispatches) >= self.settings.get("most_dispatches", 1) or (
-                not self.repeatable(now, operation, upstream)):
+                operation.out) or self.core.discovery.silent(now) or not self.repeatable(now, operation, upstream) or (
+                len(operation.dispatches) >= self.settings.get("most_dispatches", 1)):
             return False
         warmth = self.warmth(now, upstream)
         if warmth == 1.0:
@@ -546,7 +526,7 @@
         dispatch = Dispatch(operation, upstream, now)
         operation.dispatches.append(dispatch)
         upstream.pending[dispatch] = True
-        if upstream.report and "in flight" in upstream.report:
+        if self.core.pick.sees and upstream.report:
             upstream.report["in flight"] += 1
         operation.out += 1
         self.core.budget.rate.add(now)
@@ -592,8 +572,7 @@
             raise Missing("settings: grades is missing")
         super().__init__(seed, now)
         self.settings = settings
-        self.balancers = max(1, settings.get("balancers", 1))
-        self.index = settings.get("me", 0) % self.balancers
+        self.balancers, self.index = place(settings)
         self.answers, _, self.gate, self.budget, self.pick, self.sender = chain(
             stage(self) for stage in (Answers, Shares, Gate, Budget, Pick, Sender))
         self.discovery = Discovery(self)
@@ -602,8 +581,7 @@
     def review(self, now, _):
         self.later(now + REVIEW, self.review, None)
         self.pick.review(now)
-        if not self.pick.sees:
-            self.gate.release(now)
+        self.gate.release(now)
 
     @call
     def listing(self, now, whole, rows):
@@ -626,8 +604,7 @@
         if dispatch.outcome is None:
             dispatch.outcome, dispatch.took = outcome, took
             dispatch.operation.over |= final
-            if report:
-                dispatch.upstream.report, dispatch.upstream.report_at = report, now
+            dispatch.upstream.heard(now, report)
             if outcome == CALLED_OFF and now >= dispatch.operation.goal_at - self.answers.lead:
                 dispatch.outcome = TIMED_OUT        # by its goal time in place of its limit
             self.sender.ended(now, dispatch)
@@ -642,16 +619,14 @@
     @call
     def probed(self, now, upstream, outcome, took, report=None):
         if upstream.times is not None:
-            if report:
-                upstream.report, upstream.report_at = report, now
+            upstream.heard(now, report)
             self.pick.probed(now, upstream, outcome)
 
     @call
     def retold(self, now, settings, weights):
         self.settings.clear()
         self.settings.update(settings)
-        self.balancers = max(1, settings.get("balancers", 1))
-        self.index = settings.get("me", 0) % self.balancers
+        self.balancers, self.index = place(settings)
         for upstream, weight in weights:
             upstream.told = weight
         self.pick.review(now)
