--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -36,7 +36,7 @@
 
 from functools import wraps
 from heapq import heappop, heappush
-from math import exp
+from math import exp, sqrt
 from zlib import crc32
 
 READY, DRAINING, GONE = "ready", "draining", "gone"
@@ -84,6 +84,29 @@
         return (self.total + prior * strength) / weight if weight else prior
 
 
+    def high(self, more=()):
+        """Mean plus one deviation, with ``more`` counted in; of few it is drawn to 0 and a deviation of its root."""
+        weight, total, squares = self.weight + 2, self.total, self.squares + 1
+        for value in more:
+            weight, total, squares = weight + 1, total + value, squares + value * value
+        mean = total / weight
+        return mean + sqrt(max(0.0, squares / weight - mean * mean))
+
+
+class Level:
+    """The mean, fading over ``span``, of something that changes by steps; to be read before each step."""
+
+    __slots__ = ("span", "at", "mean")
+
+    def __init__(self, span, now):
+        self.span, self.at, self.mean = span, now, 0.0
+
+    def read(self, now, level):
+        self.mean = level + (self.mean - level) * exp((self.at - now) / self.span)
+        self.at = now
+        return self.mean
+
+
 class Upstream:
     """One machine that operations can go to, as this balancer knows it."""
 
@@ -205,6 +228,18 @@
         self.counter += 1
         heappush(self.agenda, (at, self.counter, what, about))
 
+    def every(self, span, what):
+        self.later(self.now + span, self.due, (span, what))
+
+    def due(self, now, about):
+        span, what = about
+        self.later(now + span, self.due, about)
+        what(now)
+
+    @call
+    def heard(self, now, peer, body):
+        """Peers tell nothing that is acted on."""
+
     @call
     def wake(self, now):
         if self.wanted is not None and now >= self.wanted:
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -1,42 +1,35 @@
-"""Every decision of pepperhook. A host makes one Balancer for each instance, calls it as things happen
-and carries out the results that each call returns; pepperhook/model.py documents calls, results and types.
-The ordinary path is Adaptive Retry Budgeting (ARB) over slices with two choices: docs/design.md.
-Down the chain Answers > Shares > Gate > Budget > Pick > Sender goes an operation, up it what comes back.
-"""
+"""Every decision of pepperhook. A host calls one Balancer for each instance as things happen and carries out
+what each returns (pepperhook/model.py). The ordinary path is Adaptive Retry Budgeting (ARB) over slices with
+two choices: docs/design.md. Down the chain goes an operation, up it what comes back."""
 
 from collections import deque
-from math import ceil, exp, log, sqrt
+from math import ceil, exp, log
 from zlib import crc32
 
 from pepperhook.model import (
     CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RESET, RETRIABLE, SPOILT, TIMED_OUT,
-    UNCONNECTED, Clockwork, Dispatch, Missing, Stage, Sums, call, chain, place)
+    UNCONNECTED, Clockwork, Dispatch, Level, Missing, Stage, Sums, call, chain, place)
 
 MS, S = 1_000_000, 1_000_000_000
 REVIEW = 200 * MS           # how often upstreams are judged afresh
 
-B0, ALPHA, BETA, HIGH_F, LOW_F, T = 0.2, 0.1, 0.5, 0.3, 0.05, S
+B0, ALPHA, BETA, HIGH_F, LOW_F, T, OVERLOAD_REFUSED = 0.2, 0.1, 0.5, 0.3, 0.05, S, 0.1
 RATE_SPAN, STEADY_SPAN = 5 * S, 30 * S  # smoothing of the base load, and of what a warm upstream bears
-OVERLOAD_REFUSED = 0.1
 
-SLICE_LEAST, WIDE, CALLERS = 3, 8, 4      # at least; at least where connections cost nothing; callers of one
-SPREAD = 0.7                # mean out at a member beyond which a slice is wider
-HEAVY = 2.0                 # times the usual cost from which an operation may look at the whole slice
-DEAR = 0.013                # price of crossing zones at which another zone's upstream weighs 1/e of an own one
+SLICE_LEAST, WIDE, CALLERS = 3, 8, 4    # at least; at least where connections cost nothing; callers of one
+SPREAD, HEAVY = 0.7, 2.0    # mean out at a member that widens a slice; usual costs that open all of it to one
+DEAR = 0.013                # price of crossing at which another zone's upstream weighs 1/e of an own one
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
-JUDGED = 0.3                # below this weight an upstream is passed over even if the rest are full
-QUICK = 2.0                 # times the middle speed that the draw still follows
-TRICKLE = 0.02              # a judged upstream still gets this much, or nobody would see it recover
+JUDGED, TRICKLE, QUICK = 0.3, 0.02, 2.0     # weights: passed over below, the least; most of middle speed
 SURPRISE = 0.7              # an unanswered dispatch tells of slowness once out for e to this usual times
-KEPT, UNASKED = 60 * S, 5 * S   # how long what is gone keeps its place, and what refused is left alone unprobed
+KEPT, UNASKED = 60 * S, 5 * S   # what is gone keeps its place; what refused and can't be probed is left alone
 RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
-ROOM = 3                    # dispatches that all callers together may always have out at an upstream
-SLACK = 1.4                 # times its limit that a mean of few dispatches may reach by chance
-LOOK, SEEN, ROUNDS, AGAIN = 4 * MS, 8 * MS, 3, 20 * MS  # wait for a look, how long it counts, how often, until more
-SURE = 1.25                 # times the expected time that must be left to the goal
-FEW = 16                    # operations that ended unserved whose goal times are kept for their repeats
-HOLD = 0.2                  # longest wait at the gate, in goal times
+SLOW, SLACK = 1.4, 1.4      # times that from which answers bind room; times its limit a mean of few may reach
+LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3  # a look is waited for, counts, and is had so often
+AGAIN = 20 * MS             # until what waits at the gate looks again
+ROOM, SURE = 3, 1.25        # out at one for all callers, always; times the expected time left to the goal
+HOLD, FEW = 0.2, 16         # longest wait at the gate, in goal times; first tries kept that ended unserved
 
 
 class Answers(Stage):
@@ -51,16 +44,14 @@
         operation.taken = now
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
         self.inherit(now, operation)
-        self.core.later(max(now, operation.not_after - self.lead), self.due, operation)
-        late_at = operation.goal_at - self.lead if self.wanes(operation) else operation.not_after
+        late_at = (operation.goal_at if self.wanes(operation) else operation.not_after) - self.lead
         self.core.later(max(now, late_at), self.give_up, operation)
         if late_at <= now or not self.inner.take(now, operation):
             self.end(now, operation)
         return True
 
     def inherit(self, now, operation):
-        # Against work past the goal: a repeat, told by its time or mark, has its first try's. A client waits for the
-        # grade's limit in all; only where it comes back to the same balancer is anything found here.
+        # Against work past the goal: a client waits for the limit in all, which tells a repeat's first try.
         grade, marked = operation.grade, operation.repeat and self.settings.get("marks_repeats")
         firsts = [first for first in self.unserved[grade["number"]] if now - first < grade["limit_ns"]]
         told = [first for first in firsts if abs(first + grade["limit_ns"] - operation.not_after) < self.lead]
@@ -71,10 +62,15 @@
         return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
 
     def give_up(self, now, operation):
-        # Against what can earn nothing any more keeping its upstream busy and its client waiting.
-        if self.wanes(operation) and not operation.over and not operation.streaming and self.harmless(operation):
+        # Against what can earn no more, or was kept with nothing out, holding an upstream and its client.
+        if operation.over or operation.streaming:
+            return
+        if not operation.out or self.settings.get("may_call_off") and self.harmless(operation):
+            self.core.note(operation, "time up")
             self.call_off(operation)
             self.end(now, operation)
+        elif now < operation.not_after - self.lead:
+            self.core.later(operation.not_after - self.lead, self.give_up, operation)
 
     def call_off(self, operation):
         self.core.out.extend(("call off", d) for d in operation.dispatches if d.outcome is None)
@@ -84,12 +80,6 @@
         return grade["effect"] == RETRIABLE or not any(d.may_have_run for d in operation.dispatches) or (
             grade["effect"] == FINGERPRINTED and grade["group"] == "all")
 
-    def due(self, now, operation):
-        # Against an operation kept with nothing out; a dispatch that is out ends at the time limit by itself.
-        if not operation.out and not operation.streaming and not operation.over:
-            self.core.note(operation, "time up")
-            self.end(now, operation)
-
     def end(self, now, operation):
         if operation.over:
             return
@@ -196,27 +186,25 @@
         self.rate, self.steady = Sums(RATE_SPAN, core.now), Sums(STEADY_SPAN, core.now)
         self.refused = Sums(2 * S, core.now)
         self.grades = [0.0] * len(self.settings["grades"])
-        core.later(core.now + T, self.adjust, None)
+        core.every(T, self.adjust)
 
     def overloaded(self, now):
         return self.refused.mean(now, 0, 5) > OVERLOAD_REFUSED
 
-    def adjust(self, now, _):
-        self.core.later(now + T, self.adjust, None)
+    def adjust(self, now):
         if self.f > HIGH_F or self.overloaded(now):
             self.B *= 1 - BETA
         elif self.f < LOW_F:
             self.B = min(B0, self.B + ALPHA)
 
     def granted(self, now, dispatch):
-        operation, pick, drawn = dispatch.operation, self.core.pick, None
+        operation, pick = dispatch.operation, self.core.pick
         most = 1 - self.f if self.lone(dispatch) else min(self.B, 1 - self.f)
         why = ("budget" if self.B <= 0 else "overload" if self.overloaded(now) else
                "effect" if not self.core.sender.repeatable(now, operation) else
                "goal" if now + pick.usual(operation.grade) > operation.goal_at else None)
-        if why is None:
-            drawn = self.core.chance()
-            why = "granted" if drawn < most else "chance"
+        drawn = None if why else self.core.chance()
+        why = why or ("granted" if drawn < most else "chance")
         self.core.note(operation, "again", why, drawn, most, self.B, self.f)
         return why == "granted"
 
@@ -248,10 +236,9 @@
         super().__init__(core)
         self.listed, self.seen, self.ring, self.home, self.members, self.part = {}, {}, [], [], [], 1.0
         self.best = [grade["goal_ns"] for grade in self.settings["grades"]]
-        # Whether upstreams tell a probe what they hold; operations that wait for such news, and of whom.
         self.sees = self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
             "in flight" in self.settings.get("report_fields", ()))
-        self.looks, self.out, self.mean_out, self.level_at = {}, 0.0, 0.0, core.now
+        self.looks, self.out, self.mean_out = {}, 0.0, Level(DONE_SPAN, core.now)
         self.crowd, self.values = 0.0, Sums(RATE_SPAN, core.now)
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
@@ -275,11 +262,10 @@
                 if now - launched < self.settings.get("warm_within_ns", 0):
                     self.chill(now, upstream, launched)
             upstream.state = state
-            self.listed[upstream] = True
-        self.listed = {u: True for u in self.listed if u.state != GONE}
+            self.listed[upstream] = now
+        self.listed = {u: now for u in self.listed if u.state != GONE}
         # Against every slice moving, with its connections, when a zone is lost: what is gone keeps its place.
-        kept = {u: at for u, at in self.seen.items() if now - at < KEPT}
-        self.seen = kept | dict.fromkeys(self.listed, now)
+        self.seen = {u: at for u, at in (self.seen | self.listed).items() if now - at < KEPT}
         self.ring = sorted(self.seen, key=lambda u: crc32(u.address))
         self.home = [u for u in self.ring if u.zone == self.settings.get("zone", u.zone)]
         self.review(now)
@@ -328,31 +314,23 @@
             # Against one of which little is known yet being held slow for that.
             high = (high * upstream.times.weight + middle * 2) / (upstream.times.weight + 2)
             upstream.slow = high * (1 + 4 * fault)
-            own = upstream.zone == self.settings.get("zone", upstream.zone)
-            upstream.near = upstream.told * (1 if own else away)
+            upstream.near = upstream.told * (1 if upstream in self.home else away)
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
             upstream.weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
             if upstream.dark_since is None:
                 continue
-            asks, due = self.settings.get("may_probe"), now >= upstream.probe_after
-            if due and asks:
-                self.probe(upstream)
             # Against never asking again one that the list tells nothing of, where nothing may be probed.
-            if due and not asks:
-                upstream.dark_since = None
-            else:
+            if now < upstream.probe_after or self.settings.get("may_probe"):
                 upstream.weight = 0.0
+            else:
+                upstream.dark_since = None
+            if now >= upstream.probe_after and upstream.dark_since is not None:
+                self.probe(upstream)
 
     def high(self, now, upstream):
         """A high quantile of its answer times, in usual times; what is long out counts as answered now."""
-        sums = upstream.times.fade(now)
-        weight, total, squares = sums.weight + 2, sums.total, sums.squares + 1
-        for dispatch in upstream.pending:
-            age = log(max(1, now - dispatch.sent) / self.expected(dispatch.operation))
-            if age > SURPRISE:
-                weight, total, squares = weight + 1, total + age, squares + age * age
-        mean = total / weight
-        return exp(mean + sqrt(max(0.0, squares / weight - mean * mean)))
+        ages = [log(max(1, now - d.sent) / self.expected(d.operation)) for d in upstream.pending]
+        return exp(upstream.times.fade(now).high(age for age in ages if age > SURPRISE))
 
     def probe(self, upstream):
         if not upstream.probing:
@@ -363,18 +341,18 @@
         return sorted(upstreams, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))
 
     def held(self, now, upstream):
-        """What it told just now that it holds; None: nothing."""
-        return upstream.report["in flight"] if upstream.report and now - upstream.report_at < SEEN else None
+        told = self.sees and upstream.report and now - upstream.report_at < SEEN
+        return upstream.report["in flight"] if told else None
 
     def look_first(self, now, operation, usable):
-        """Against own dispatches telling nothing where each sends few: two are asked, two more if none is idle."""
+        """Against own dispatches telling nothing where each sends few: two are asked, then two more."""
         rest = [u for u in usable if self.held(now, u) is None]
-        idle = any(u not in rest and self.held(now, u) < 0.5 for u in usable)
-        if operation.looking or operation.rounds >= ROUNDS or not rest or idle:
+        if operation.looking or operation.rounds >= ROUNDS or not rest or any(
+                u not in rest and self.held(now, u) < 0.5 for u in usable):
             operation.rounds = 0
             return False
-        pair = self.drawn(rest)[:2]
-        operation.rounds, operation.looking, self.looks[operation] = operation.rounds + 1, True, set(pair)
+        operation.rounds, operation.looking = operation.rounds + 1, True
+        self.looks[operation] = pair = self.drawn(rest)[:2]
         for upstream in pair:
             self.probe(upstream)
         self.core.later(now + LOOK, self.looked, operation)
@@ -394,25 +372,22 @@
             return False
         # Against cheap ones taking what dear ones want, where too few wait at a gate to be put in order.
         ease = min(2.0, max(0.5, operation.value / self.values.mean(now, operation.value, 1)))
-        held = self.held(now, upstream) if self.sees else None
+        held = self.held(now, upstream)
         if held is not None:
-            needed = SURE * (held + 1) * self.best[operation.grade["number"]]
-            return now + needed / min(1.0, ease) < operation.goal_at
+            best = self.best[operation.grade["number"]]
+            return now + SURE * (held + 1) * best / min(1.0, ease) < operation.goal_at
         # Little's law, against burying one, or one that only times out: what was given up still runs there.
         out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
         limit = max(self.part, done.total / done.span)
-        # Against many callers who each round a part up: it holds, loosely, for the mean while answers are slow.
-        if self.crowd < 1.4 * ease:
+        # Against many callers who each round a part up: it holds for the mean, loosely, if answers are slow.
+        if self.crowd < SLOW * ease:
             return out < max(limit, 1)
         return out < limit and (limit >= 1 or self.level(now) < SLACK * ease * max(
             self.part * len(self.members), sum(u.done.fade(now).total / u.done.span for u in self.members)))
 
     def level(self, now):
         """The mean of all that is out, fading; to be brought up to date before that changes."""
-        out = sum(len(u.pending) + u.ghosts.fade(now).weight for u in self.members)
-        keep = exp((self.level_at - now) / DONE_SPAN)
-        self.mean_out, self.level_at = out + (self.mean_out - out) * keep, now
-        return self.mean_out
+        return self.mean_out.read(now, sum(len(u.pending) + u.ghosts.fade(now).weight for u in self.members))
 
     def take(self, now, operation):
         tried = [d.upstream for d in operation.dispatches]
@@ -433,23 +408,21 @@
             out = {u: (1 + self.held(now, u)) * u.slow / u.told for u in fit if self.held(now, u) is not None}
         chosen = min(out, default=None, key=lambda u: (
             (out[u] + heft) * u.slow if heft > HEAVY else out[u], u.slow))
-        if self.core.notes is not None:
-            where = "slice" if upstreams is self.members else "ring"
-            self.core.notes.append((operation, "drawn", where, len(usable), len(fit), [
-                (u.address, u.weight * u.near, out[u], u.slow) for u in out]))
+        self.core.note(operation, "drawn", "slice" if upstreams is self.members else "ring", len(usable),
+                       len(fit), [(u.address, u.weight * u.near, out[u], u.slow) for u in out])
         return chosen is not None and self.inner.send(now, operation, chosen)
 
     def ended(self, now, dispatch):
         upstream, grade, outcome = dispatch.upstream, dispatch.operation.grade, dispatch.outcome
+        short = min(CROWD * grade["goal_ns"], QUEUED * self.best[grade["number"]])
         if outcome in (FULFILLED, TIMED_OUT):
-            short = min(CROWD * dispatch.operation.grade["goal_ns"], QUEUED * self.best[grade["number"]])
             self.crowd += 0.1 * (min(3.0, dispatch.took / short) - self.crowd)
         if outcome == FULFILLED:
             upstream.times.add(now, log(max(1, dispatch.took) / self.expected(dispatch.operation)))
             self.grades[grade["number"]].add(now, dispatch.took)
             # Against goal times so long that an upstream is crowded well within them.
-            best = self.best[grade["number"]] = min(self.usual(grade), 1.001 * self.best[grade["number"]])
-            upstream.done.add(now, min(CROWD * grade["goal_ns"], QUEUED * best))
+            self.best[grade["number"]] = min(self.usual(grade), 1.001 * self.best[grade["number"]])
+            upstream.done.add(now, short)
         elif outcome in (TIMED_OUT, CALLED_OFF):
             upstream.ghosts.add(now)
             age = log(max(1, now - dispatch.sent) / self.expected(dispatch.operation))
@@ -475,8 +448,7 @@
         if outcome == FULFILLED:
             self.alive(now, upstream)
         for operation, asked in list(self.looks.items()):
-            asked.discard(upstream)
-            if not asked:
+            if upstream in asked and all(self.held(now, u) is not None for u in asked):
                 self.looked(now, operation)
 
 
@@ -502,15 +474,15 @@
             getattr(d.upstream, grade["group"]) == getattr(upstream, grade["group"]) for d in doubtful)
 
     def may(self, now, operation, upstream):
-        if operation.over or operation.streaming or now >= operation.not_after or upstream.state != READY or (
-                operation.out) or self.core.discovery.silent(now) or not self.repeatable(now, operation, upstream) or (
-                len(operation.dispatches) >= self.settings.get("most_dispatches", 1)):
+        if operation.over or operation.out or operation.streaming or now >= operation.not_after or (
+                upstream.state != READY or self.core.discovery.silent(now)) or (
+                len(operation.dispatches) >= self.settings.get("most_dispatches", 1)) or (
+                not self.repeatable(now, operation, upstream)):
             return False
         warmth = self.warmth(now, upstream)
         if warmth == 1.0:
             return True
-        # A warm one bears its load; a cold one gets that share of it which it surely can do, evenly.
-        # Against a fleet all cold that gets less and less, the older rate counts where it is the higher.
+        # A cold one gets its share of a warm one's load, by the older rate too against a fleet all cold.
         rate = max(self.core.budget.rate.rate(now), self.core.budget.steady.rate(now))
         rate /= max(1, len(self.core.pick.members))
         upstream.allowance = min(1.0, upstream.allowance + (now - upstream.allowed_at) / S * rate * warmth)
@@ -576,10 +548,9 @@
         self.answers, _, self.gate, self.budget, self.pick, self.sender = chain(
             stage(self) for stage in (Answers, Shares, Gate, Budget, Pick, Sender))
         self.discovery = Discovery(self)
-        self.later(now + REVIEW, self.review, None)
+        self.every(REVIEW, self.review)
 
-    def review(self, now, _):
-        self.later(now + REVIEW, self.review, None)
+    def review(self, now):
         self.pick.review(now)
         self.gate.release(now)
 
@@ -630,7 +601,3 @@
         for upstream, weight in weights:
             upstream.told = weight
         self.pick.review(now)
-
-    @call
-    def heard(self, now, peer, body):
-        """Peers tell nothing that is acted on."""
