--- a/pepperhook/lab/planted.py
+++ b/pepperhook/lab/planted.py
@@ -265,8 +265,7 @@
     """The budget is never halved, however many fail."""
     from pepperhook import policy
 
-    def adjust(self, now, _):
-        self.core.later(now + policy.T, self.adjust, None)
+    def adjust(self, now):
         self.B = min(policy.B0, self.B + policy.ALPHA)
     policy.Budget.adjust = adjust
 
--- a/pepperhook/operator/__init__.py
+++ b/pepperhook/operator/__init__.py
@@ -37,6 +37,10 @@
             # Round the recorder: what is captured is what the module itself is told.
             from pepperhook.record.tracing import Traces
             parts.append(Traces(file.trace, told, log))
+        if file.shadow is not None:
+            # Round both: its twins are no part of what is captured or traced.
+            from pepperhook.shadow.part import Shadow
+            parts.append(Shadow(file.shadow, told, log))
         gossip = None
         if file.gossip is not None:
             if file.gossip.place and file.control is not None and file.control.place:
--- a/pepperhook/operator/schema.py
+++ b/pepperhook/operator/schema.py
@@ -122,6 +122,13 @@
     suspicion: Annotated[float, Meta(ge=1, le=20)] = 3.0    # times log10 of their number, in periods: the shortest time until one is lost
 
 
+class Shadow(Struct, forbid_unknown_fields=True, kw_only=True):
+    """Decides as before, and counts by kind where other settings would have decided otherwise."""
+
+    settings: str                   # JSON file with the other settings, or a whole configuration of which these are taken
+    share: Share = 0.02             # of the calls that are decided twice; each costs some milliseconds of core
+
+
 class Operator(Struct, forbid_unknown_fields=True, kw_only=True):
     version: Literal[1]
     customers: Customers | None = field(default=None)
@@ -132,3 +139,4 @@
     control: Control | None = field(default=None)
     gossip: Gossip | None = field(default=None)
     h2: H2 | None = field(default=None)
+    shadow: Shadow | None = field(default=None)
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -22,8 +22,7 @@
 TIMES_SPAN, FAULTS_SPAN, DONE_SPAN = 6 * S, 4 * S, 2 * S
 JUDGED, TRICKLE, QUICK = 0.3, 0.02, 2.0     # weights: passed over below, the least; most of middle speed
 SURPRISE = 0.7              # an unanswered dispatch tells of slowness once out for e to this usual times
-KEPT, UNASKED = 60 * S, 5 * S   # what is gone keeps its place; what refused and can't be probed is left alone
-RESTARTED = 1500 * MS       # dead for longer than this counts as a restart
+KEPT, UNASKED, RESTARTED = 60 * S, 5 * S, 1500 * MS    # gone: its place; refused, unprobed: left alone; dead
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 SLOW, SLACK = 1.4, 1.4      # times that from which answers bind room; times its limit a mean of few may reach
 LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3  # a look is waited for, counts, and is had so often
@@ -236,12 +235,15 @@
         super().__init__(core)
         self.listed, self.seen, self.ring, self.home, self.members, self.part = {}, {}, [], [], [], 1.0
         self.best = [grade["goal_ns"] for grade in self.settings["grades"]]
-        self.sees = self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
-            "in flight" in self.settings.get("report_fields", ()))
         self.looks, self.out, self.mean_out = {}, 0.0, Level(DONE_SPAN, core.now)
         self.crowd, self.values = 0.0, Sums(RATE_SPAN, core.now)
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
+    @property
+    def sees(self):
+        return self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
+            "in flight" in self.settings.get("report_fields", ()))
+
     def heft(self, operation):
         costs = self.costs[operation.grade["number"]]
         return operation.cost / costs.mean(self.core.now, operation.cost, 2) if operation.cost else 1.0
@@ -341,8 +343,8 @@
         return sorted(upstreams, key=lambda u: -log(1 - self.core.chance()) / (u.weight * u.near))
 
     def held(self, now, upstream):
-        told = self.sees and upstream.report and now - upstream.report_at < SEEN
-        return upstream.report["in flight"] if told else None
+        if self.sees and upstream.report and now - upstream.report_at < SEEN:
+            return upstream.report["in flight"]
 
     def look_first(self, now, operation, usable):
         """Against own dispatches telling nothing where each sends few: two are asked, then two more."""
@@ -371,10 +373,10 @@
         if upstream.weight < JUDGED and self.core.chance() >= upstream.weight:
             return False
         # Against cheap ones taking what dear ones want, where too few wait at a gate to be put in order.
-        ease = min(2.0, max(0.5, operation.value / self.values.mean(now, operation.value, 1)))
+        ease = min(2.0, max(0.5, operation.value / max(MS / S, self.values.mean(now, operation.value, 1))))
         held = self.held(now, upstream)
         if held is not None:
-            best = self.best[operation.grade["number"]]
+            best = min(self.best[operation.grade["number"]], self.usual(operation.grade))
             return now + SURE * (held + 1) * best / min(1.0, ease) < operation.goal_at
         # Little's law, against burying one, or one that only times out: what was given up still runs there.
         out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
@@ -399,13 +401,13 @@
                 break
         if self.sees and self.look_first(now, operation, usable):
             return True
-        fit, heft = [u for u in usable if self.room(now, u, operation)], self.heft(operation)
+        known, heft = [u for u in usable if self.held(now, u) is not None], self.heft(operation)
+        fit = [u for u in known or usable if self.room(now, u, operation)]
         # Against a heavy one, dear by its work, on one too slow to do it in time: the quickest of all.
         pair = self.drawn(fit)[:None if heft > HEAVY else 2]
         # Against quick failures looking idle and so drawing all: each counts as one out for a while.
-        out = {u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
-        if self.sees and any(self.held(now, u) is not None for u in fit):
-            out = {u: (1 + self.held(now, u)) * u.slow / u.told for u in fit if self.held(now, u) is not None}
+        out = {u: (1 + self.held(now, u)) * u.slow / u.told for u in fit} if known else {
+            u: (len(u.pending) + u.faults.fade(now).total) / u.told for u in pair}
         chosen = min(out, default=None, key=lambda u: (
             (out[u] + heft) * u.slow if heft > HEAVY else out[u], u.slow))
         self.core.note(operation, "drawn", "slice" if upstreams is self.members else "ring", len(usable),
--- /dev/null
+++ b/pepperhook/shadow/decide.py
@@ -0,0 +1,87 @@
+"""One call decided twice, from the same state and the same draws; what differs, by kind. Nothing here has I/O.
+
+The twin is a copy of the module's whole state, made before the call and thrown away behind it: a second history would drift away,
+and after minutes every decision would differ for reasons that no setting has.
+"""
+
+from pepperhook.model import place
+from pepperhook.record import state
+
+FINAL = ("shed", "break off")
+KINDS = ("another upstream", "shed", "sent", "not again", "again", "later", "sooner", "held", "not held", "another answer",
+         "called off", "not called off", "asked", "not asked", "another time", "another slice")
+
+
+class Unlike(ValueError):
+    """The other settings are of another service: nothing could be compared."""
+
+
+def check(settings: dict, other: dict) -> None:
+    """Raises Unlike. Operations under way and learnt figures belong to grades and customers by number."""
+    for key, name in ("grades", "serviceGrades"), ("customers", "orgs"):
+        if len(settings[key]) != len(other[key]):
+            raise Unlike(f"{name}: {len(other[key])} of them, {len(settings[key])} are in force")
+    for at, (mine, its) in enumerate(zip(settings["grades"], other["grades"])):
+        if mine["effect"] != its["effect"]:
+            raise Unlike(f"serviceGrades[{at}].effect: {its['effect']}, {mine['effect']} is in force")
+
+
+class Twin:
+    """A copy that goes by other settings from now on, and the call's own arguments in it."""
+
+    def __init__(self, module, settings: dict, about: tuple):
+        frozen = state.freeze(module, about)
+        self.module, self.about = state.thaw(frozen, {type(module).__name__: type(module)})
+        self.module.settings.clear()
+        self.module.settings.update(settings)
+        self.module.balancers, self.module.index = place(self.module.settings)
+
+    def call(self, name: str, now: int) -> list:
+        if name == "take":
+            operation = self.about[0]
+            operation.grade = self.module.settings["grades"][operation.grade["number"]]
+        return getattr(self.module, name)(now, *self.about)
+
+
+def outcome(results) -> tuple[dict, set, int | None]:
+    """What became of each operation, by id: its last word; which upstreams were asked; the next time of its own."""
+    ends, asked, wake = {}, set(), None
+    for what, *about in results:
+        if what == "dispatch":
+            ends[about[0].operation.id] = "dispatch", about[0].upstream.address, len(about[0].operation.dispatches) > 1
+        elif what == "call off":
+            ends.setdefault(about[0].operation.id, ("call off", None, False))
+        elif what in FINAL:
+            ends[about[0].id] = what, None, any(d.outcome is not None for d in about[0].dispatches)
+        elif what == "probe":
+            asked.add(about[0].address)
+        elif what == "wake":
+            wake = about[0]
+    return ends, asked, wake
+
+
+def differs(real, twin) -> str | None:
+    """The kind, of two fates of one operation; None where they are the same. Each is (what, upstream, tried before)."""
+    if real == twin:
+        return None
+    was, would = (fate and fate[0] for fate in (real, twin))
+    if was == would == "dispatch":
+        return "another upstream" if real[1] != twin[1] else None
+    if would in FINAL:
+        if was == "dispatch":
+            return "not again" if real[2] else "shed"
+        return "another answer" if was in FINAL and was != would else None if was in FINAL else "sooner"
+    if was in FINAL:
+        return ("again" if twin[2] else "sent") if would == "dispatch" else "later"
+    if "call off" in (was, would):
+        return "called off" if would == "call off" else "not called off"
+    return "not held" if would == "dispatch" else "held"
+
+
+def compare(real, twin) -> list[str]:
+    """The kinds in which the twin's results differ from the real ones; an empty list where they are the same."""
+    (mine, asked, wake), (its, would_ask, would_wake) = outcome(real), outcome(twin)
+    found = [differs(mine.get(one), its.get(one)) for one in {**mine, **its}]
+    found += ["asked"] * bool(would_ask - asked) + ["not asked"] * bool(asked - would_ask)
+    found += ["another time"] * (wake != would_wake)
+    return [kind for kind in found if kind is not None]
--- /dev/null
+++ b/pepperhook/shadow/part.py
@@ -0,0 +1,96 @@
+"""The mode that watches: stands in the module's place, passes each call on, and has a share of them decided by other settings, too."""
+
+import json
+from collections import Counter
+from zlib import crc32
+
+from pepperhook import model, settings
+from pepperhook.shadow.decide import KINDS, Twin, Unlike, check, compare
+
+MOST_FAULTS = 20        # after which it leaves off: something is wrong that goes on being wrong
+
+
+class Shadow:
+    """Holds counts of fixed kinds; a twin lives for one call."""
+
+    def __init__(self, told, config, log):
+        self.told_share, self.log, self.seed = told.share, log, config.seed
+        self.counts, self.compared, self.passed, self.faults, self.counter = Counter(), 0, 0, 0, 0
+        try:
+            with open(told.settings, encoding="utf-8") as file:
+                read = json.load(file)
+            # The platform's whole file serves as well as the settings alone.
+            env = read.get("settings", read) if isinstance(read, dict) else read
+            self.other = dict(settings.read(env), asks=config.settings.get("asks"))
+            check(config.settings, self.other)
+        except (OSError, ValueError) as problem:
+            text = problem if isinstance(problem, (model.Missing, Unlike)) else getattr(problem, "strerror", None) or problem
+            raise ValueError(f"shadow.settings: {told.settings}: {text}") from None
+
+    def born(self, node, module, now):
+        return Watched(module, self)
+
+    def chosen(self) -> bool:
+        """A share of the calls, by a chance of its own: the module's draws are not touched."""
+        self.counter += 1
+        return self.faults < MOST_FAULTS and (
+            crc32(b"%d" % crc32(b"shadow %d %d" % (self.seed, self.counter))) < self.told_share * 2 ** 32)
+
+    def fault(self, name, problem):
+        self.faults += 1
+        self.log.warning("shadow_fault", call=name, error=f"{type(problem).__name__}: {problem}",
+                         left_off=self.faults >= MOST_FAULTS)
+
+    def told(self):
+        kinds = {"_".join(kind.split()): self.counts[kind] for kind in KINDS if self.counts[kind]}
+        return {"name": "shadow", "calls": self.passed, "compared": self.compared, "faults": self.faults, **kinds}
+
+
+class Watched:
+    """In the module's place; all that is not a call to compare is the module's own."""
+
+    def __init__(self, module, shadow):
+        own = module
+        while "module" in vars(own):        # behind others that stand in its place, as a recorder does
+            own = own.module
+        self.__dict__.update(module=module, own=own, shadow=shadow)
+
+    def __getattr__(self, name):
+        return getattr(self.module, name)
+
+    def __setattr__(self, name, value):
+        setattr(self.module, name, value)
+
+    def take(self, now, operation):
+        return self.twice("take", now, operation)
+
+    def ended(self, now, *about):
+        return self.twice("ended", now, *about)
+
+    def listing(self, now, *about):
+        return self.twice("listing", now, *about)
+
+    def wake(self, now):
+        return self.twice("wake", now)
+
+    def twice(self, name, now, *about):
+        shadow, twin = self.shadow, None
+        shadow.passed += 1
+        if shadow.chosen():
+            # Whatever goes wrong in here, the call goes on as if nothing watched.
+            try:
+                twin = Twin(self.own, shadow.other, about)
+                would = twin.call(name, now)
+            except Exception as problem:
+                shadow.fault(name, problem)
+                twin = None
+        results = getattr(self.module, name)(now, *about)
+        if twin is not None:
+            try:
+                kinds = compare(results, would)
+                mine, its = ([u.address for u in module.pick.members] for module in (self.own, twin.module))
+                shadow.counts.update(kinds + ["another slice"] * (mine != its))
+                shadow.compared += 1
+            except Exception as problem:
+                shadow.fault(name, problem)
+        return results
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -111,29 +111,31 @@
     judged = world.balancer.pick.members[0]
     judged.weight = policy.TRICKLE
     assert not judged.pending
-    assert 0 < sum(world.balancer.pick.room(world.now, judged) for _ in range(2000)) < 100
+    operation = world.operation(0)
+    operation.value = 1.0
+    assert 0 < sum(world.balancer.pick.room(world.now, judged, operation) for _ in range(2000)) < 100
 
 
 def test_many_callers_do_not_round_a_part_below_one_up():
     world = World(14, balancers=60)
-    pick, upstream = world.balancer.pick, world.balancer.pick.members[0]
+    pick = world.balancer.pick
     assert 0 < pick.part < 0.5
-    world.span, sent = (lambda dispatch: S), 0
-    for _ in range(4000):
+    world.fate, world.span, out = (lambda dispatch: model.FULFILLED), (lambda dispatch: 1500 * MS), []
+    for step in range(6000):
+        if step % 2 == 0:
+            world.offer(0)
         world.step(5 * MS)
-        if pick.room(world.now, upstream):
-            operation = model.Operation(-1, world.settings["grades"][0], None, None, world.now + 2 * S)
-            sent += world.balancer.sender.send(world.now, operation, upstream)
-            world.play(world.balancer.wake(world.now))
-    # A second out for each, over twenty seconds: rounded up it would be one all the time.
-    assert pick.part < sent / 20 < 0.5
+        out.append(sum(len(u.pending) for u in pick.ring))
+    # One at each member all the time without it; what was out is bound once answers have shown to be slow.
+    assert pick.crowd > policy.SLOW
+    assert sum(out[2000:]) / 4000 < 0.75 * len(pick.members)
 
 
 def test_slices_lean_to_the_own_zone_and_still_cover_all():
     for zones in ([n % 2 for n in range(12)], [0] * 11 + [1], [0] * 12):
         covered, own = set(), 0
         for index in range(12):
-            world = World(15, me=index, balancers=12)
+            world = World(15, me=index, balancers=12, crossing_price=0.05)
             upstreams = [model.Upstream(bytes([n] * 6), zone=zone) for n, zone in enumerate(zones)]
             world.play(world.balancer.listing(world.now, True, [(u, model.READY, 0) for u in upstreams]))
             members = world.balancer.pick.members
@@ -169,15 +171,15 @@
     world = World(6)
     budget = world.balancer.budget
     budget.f, world.now = 0.5, world.now + S
-    budget.adjust(world.now, None)
+    budget.adjust(world.now)
     assert budget.B == policy.B0 / 2
     budget.f = 0.1
-    budget.adjust(world.now, None)
+    budget.adjust(world.now)
     assert budget.B == policy.B0 / 2
     budget.f, budget.B = 0.0, 0.05
-    budget.adjust(world.now, None)
+    budget.adjust(world.now)
     assert abs(budget.B - 0.15) < 1e-9
-    budget.adjust(world.now, None)
+    budget.adjust(world.now)
     assert budget.B == policy.B0
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -38,10 +38,11 @@
         self.random, self.now, self.make = random.Random(seed), 7 * S, make
         self.settings = settings(**more)
         self.upstreams = [model.Upstream(bytes([n] * 6), zone=n % 2, cell=n % 3) for n in range(8)]
-        self.ends, self.answered, self.taken, self.wakes, self.sends = [], {}, [], [], []
+        self.ends, self.answered, self.taken, self.wakes, self.sends, self.called_off = [], {}, [], [], [], []
         self.fate = lambda dispatch: self.random.choice(FATES)
         self.span = lambda dispatch: self.random.randrange(5 * MS, 300 * MS)
         self.generous = False
+        self.probes, self.report = [], None     # a function of the upstream: what it tells to a probe
         self.start()
 
     def start(self):
@@ -61,7 +62,8 @@
             for upstream in self.upstreams:
                 upstream.faulty = True
         assert 0 <= budget.B <= policy.B0 and 0 <= budget.f <= 1
-        assert len({u for u in self.balancer.pick.members}) >= min(3, len(self.balancer.pick.ring))
+        ready = [u for u in self.balancer.pick.ring if u.state == model.READY]
+        assert len(set(self.balancer.pick.members)) >= min(3, len(ready))
 
     def do_dispatch(self, dispatch, for_ns):
         operation, upstream = dispatch.operation, dispatch.upstream
@@ -85,6 +87,7 @@
 
     def do_call_off(self, dispatch):
         assert self.settings["may_call_off"] and dispatch.outcome is None
+        self.called_off.append(dispatch)
         self.ends = [e for e in self.ends if e[1] is not dispatch] + [(self.now, dispatch, model.CALLED_OFF)]
 
     def final(self, operation, what):
@@ -102,8 +105,9 @@
 
     def do_probe(self, upstream):
         assert self.settings["may_probe"]
+        self.probes.append((self.now, upstream))
         fate = self.random.choice([model.FULFILLED, model.TIMED_OUT])
-        self.ends.append((self.now + 5 * MS, upstream, fate))
+        self.ends.append((self.now + (5 * MS if self.report is None else MS), upstream, fate))
 
     def do_watch(self):
         self.watched = self.now
@@ -114,10 +118,13 @@
     def do_note(self, text):
         pass
 
-    def offer(self, number=None, limit=2 * S):
+    def operation(self, number=None, limit=2 * S, repeat=False):
         grades = self.settings["grades"]
         chosen = grades[number] if number is not None else self.random.choice(grades)
-        operation = model.Operation(len(self.taken), chosen, 0, None, self.now + limit)
+        return model.Operation(len(self.taken), chosen, 0, None, self.now + limit, repeat=repeat)
+
+    def offer(self, number=None, limit=2 * S, repeat=False):
+        operation = self.operation(number, limit, repeat)
         self.taken.append(operation)
         self.play(self.balancer.take(self.now, operation))
         return operation
@@ -129,7 +136,8 @@
         self.ends = [e for e in self.ends if e[0] > self.now]
         for _, what, fate in sorted(due, key=lambda e: e[0]):
             if isinstance(what, model.Upstream):
-                self.play(self.balancer.probed(self.now, what, fate, 5 * MS))
+                told = self.report(what) if self.report and fate == model.FULFILLED else None
+                self.play(self.balancer.probed(self.now, what, fate, 5 * MS, told))
                 continue
             operation, late = what.operation, what.operation in self.answered
             if fate == model.FULFILLED and not late:
