--- a/pepperhook/cli/main.py
+++ b/pepperhook/cli/main.py
@@ -157,6 +157,12 @@
         if ours in read.settings:
             rows.append((f"settings.{key}", read.settings[ours] / (factor or 1) if factor != 1 else
                          read.settings[ours], path))
+    for key, value in ("how", read.settings["reports"]), ("fields", read.settings["report_names"]):
+        here = given["settings"].get("reporting") or {}
+        rows.append((f"settings.reporting.{key}", value, path if key in here else "default"))
+    for key in settings.PLAIN:
+        if settings.PLAIN[key][0] not in read.settings:
+            rows.append((f"settings.{key}", None, "absent"))
     for at, grade in enumerate(read.settings["grades"]):
         for key, value in grade.items():
             if key != "number":
--- a/pepperhook/net/core.py
+++ b/pepperhook/net/core.py
@@ -73,8 +73,8 @@
             # Against a dispatch that nobody makes staying in the module's books for good.
             self.loop.call_soon(self.tell, self.module.ended, item[1], model.MOOT, 0, True)
 
-    def probed(self, upstream, outcome, took):
-        self.tell(self.module.probed, upstream, outcome, took)
+    def probed(self, upstream, outcome, took, report=None):
+        self.tell(self.module.probed, upstream, outcome, took, *(() if report is None else (report,)))
 
     def wake_at(self, at):
         if self.alarm is None or at < self.alarm_at:
--- a/pepperhook/net/upstreams.py
+++ b/pepperhook/net/upstreams.py
@@ -1,6 +1,7 @@
 """Sends dispatches and probes to upstreams, and tells how each ended. Owns the connections to upstreams."""
 
 import asyncio
+import json
 import socket
 from dataclasses import dataclass
 from errno import EMFILE
@@ -50,6 +51,9 @@
         self.parts, self.h2 = parts, parts.h2
         self.lines, self.tasks, self.probes, self.sockets, self.closing = {}, {}, set(), WeakSet(), set()
         self.connect_s = settings.get("connect_limit_ns", 10 ** 9) / 1e9
+        # Which figures a probe brings: by their names on the wire, and as the decisions know them.
+        self.figures = dict(zip(settings["report_names"], settings["report_fields"])) if (
+            settings.get("reports") == "probe") else {}
         # Against writing on a connection that the upstream closes as idle, which ends as a reset. The library
         # looks for idle ones only once in that time, so some stand for twice as long.
         self.idle_s = IDLE_SHARE * settings.get("idle_ns", 15 * 10 ** 9) / 1e9
@@ -163,7 +167,7 @@
         self.counters.add("probes")
 
     async def ask(self, upstream, tell):
-        begun, outcome, line = self.core.now(), model.UNCONNECTED, self.lines.get(upstream)
+        begun, outcome, line = self.core.now(), (model.UNCONNECTED, None), self.lines.get(upstream)
         try:
             if line is not None:
                 line.out += 1
@@ -174,11 +178,30 @@
             if line is not None:
                 line.out -= 1
                 self.part(line)
-            tell(upstream, outcome, self.core.now() - begun)
+            tell(upstream, outcome[0], self.core.now() - begun, outcome[1])
 
     async def ping(self, line):
-        status, _, _ = await line.way.ask("GET", "/ping", [], b"", PROBE_CONNECTS * self.connect_s)
-        return model.FULFILLED if status == 200 else model.ERROR
+        target = "/_load" if self.figures else "/ping"
+        status, _, body = await line.way.ask("GET", target, [], b"", PROBE_CONNECTS * self.connect_s)
+        if status != 200:
+            return model.ERROR, None
+        report = self.report(body)
+        if self.figures and report is None:
+            self.counters.add("load reports unusable")
+        return model.FULFILLED, report
+
+    def report(self, body):
+        """All the figures that the settings name, by the decisions' names; None where one is missing or no number."""
+        try:
+            told = json.loads(body) if self.figures else None
+        except ValueError:
+            return None
+        if isinstance(told, list):
+            told = dict(zip(self.figures, told))
+        if not isinstance(told, dict) or not all(
+                type(told.get(name)) in (int, float) and told[name] >= 0 for name in self.figures):
+            return None     # also what is not a number at all, which JSON lets through: it compares as false
+        return {ours: float(told[name]) for name, ours in self.figures.items()} or None
 
     async def close(self):
         tasks = list(self.tasks.values()) + list(self.probes)
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -167,9 +167,9 @@
         self.release(now, again=True)
 
     def release(self, now, again=False):
-        # Against asking at once those who have just said that they are busy.
+        # Against asking at once those who have just said that they are busy, and all that wait asking together.
         while self.queue and (again or not self.core.pick.sees) and self.inner.take(now, self.queue[0]):
-            self.leave(self.queue[0])
+            again = self.leave(self.queue[0])
 
     def ended(self, now, dispatch):
         self.outer.ended(now, dispatch)
--- a/pepperhook/settings.py
+++ b/pepperhook/settings.py
@@ -5,6 +5,7 @@
 
 EFFECTS = {"idempotent": model.RETRIABLE, "deduplicated": model.FINGERPRINTED, "at_most_once": model.BINDING}
 GROUPS = ("all", "zone", "cell")
+HOWS = ("answers", "probe", "none")
 REPORT_WORDS = {"outstanding": "in flight", "backlog": "waiting", "utilization": "utilisation",
                 "recent_ms": "service time ms", "throughput": "per second",
                 "errors_per_s": "errors per second"}
@@ -53,7 +54,11 @@
     reporting = env.get("reporting") or {}
     expect(isinstance(reporting, dict), "reporting", "an object is wanted")
     settings["reports"] = reporting.get("how", "none")
-    settings["report_fields"] = [REPORT_WORDS.get(word, word) for word in reporting.get("fields") or ()]
+    expect(settings["reports"] in HOWS, "reporting.how", f"one of {', '.join(HOWS)} is wanted")
+    fields = reporting.get("fields") or []
+    expect(isinstance(fields, list) and all(isinstance(word, str) for word in fields) and (
+        len(set(fields)) == len(fields)), "reporting.fields", "a list of names is wanted, each once")
+    settings["report_names"], settings["report_fields"] = fields, [REPORT_WORDS.get(word, word) for word in fields]
     return settings
 
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -3,7 +3,8 @@
 import pytest
 
 from pepperhook import model, policy, settings
-from tests.world import MS, S, World, grade
+from tests.world import ENV as PLATFORM
+from tests.world import MS, S, Peer, Running, World, answer, grade, loopback
 
 LOOKS = {"reports": "probe", "report_fields": ["in flight", "waiting"]}
 
@@ -184,3 +185,36 @@
     if faulty is not None:
         with pytest.raises(model.Missing, match=path.replace(".", r"\.")):
             settings.read(ENV | {table: {key: faulty}})
+
+
+ASKS = PLATFORM | {"reporting": {"how": "probe", "fields": ["outstanding", "backlog"]}, "groupSize": 300,
+                   "prices": {"connection": 0.0, "handshake": 0.0}}
+
+
+@pytest.mark.parametrize("load, used", [
+    (b'{"outstanding": %d, "backlog": 0}', True), (b"[%d, 0]", True), (b'{"outstanding": "%d", "backlog": 0}', False),
+    (b'{"outstanding": NaN, "backlog": %d}', False), (b"busy %d", False)])
+@loopback
+async def test_on_sockets_upstreams_are_asked_what_they_hold_and_the_idle_one_gets_it(load, used):
+    def peer(held):
+        return Peer(lambda head, body: answer(body=load % held) if b"/_load" in head.split(b"\r\n")[0] else answer())
+    async with peer(7) as busy, peer(0) as idle, Running([busy.dial, idle.dial], env=ASKS) as running:
+        for _ in range(20):
+            assert (await running.ask())[0] == 200
+        got = [sum(b"/look" in head.split(b"\r\n")[0] for head, _ in one.seen) for one in (busy, idle)]
+        assert sum(got) == 20 and any(b"/_load" in head for head, _ in idle.seen)
+        assert bool(running.node.counters["load reports unusable"]) is not used
+        assert not used or all(u.report["in flight"] >= 0 for u in running.node.core.module.pick.listed)
+        assert used or got[0] > 0, "without figures both are drawn"
+
+
+@loopback
+async def test_on_sockets_what_is_late_is_given_up_at_its_goal_time_and_its_client_hears_at_once():
+    rows = [dict(row, goalTimeUs=300000) for row in PLATFORM["serviceGrades"]]
+    env = PLATFORM | {"serviceGrades": rows, "permissions": PLATFORM["permissions"] | {"cancel": True}}
+    async with Peer(lambda head, body: None) as mute, Running([mute.dial], env=env) as running:
+        status, body = await running.ask()
+        assert (status, running.node.counters["answered shed"]) == (503, 1)
+        assert running.node.counters["dispatches called off"] == 1 == len(mute.seen)
+        # By the world's clock, with room for a machine that stands still: long before its limit of two seconds.
+        assert running.node.core.module.budget.f > 0
