--- a/pepperhook/control/part.py
+++ b/pepperhook/control/part.py
@@ -105,12 +105,11 @@
 
     def seen(self) -> Seen:
         module, names = self.node.core.module, self.config.names
-        now, ready, out = self.node.core.now(), {}, 0.0
+        ready = {}
         for upstream, (state, _) in self.listed_as.items():
             if state == READY:
                 done = upstream.done
                 ready[name_of(upstream)] = max(module.pick.part, 0.0 if done is None else done.total / done.span)
-                out += upstream.level
         usual = {}
         for name, number in names["grades"].items():
             answers = module.pick.grades[number]
@@ -118,7 +117,7 @@
                 usual[name] = module.pick.usual(self.start["grades"][number]) / 1e6
         grades = {name: {"time_limit_ms": grade["limit_ns"] / 1e6, "goal_ms": grade["goal_ns"] / 1e6, "effect": grade["effect"]}
                   for name, number in names["grades"].items() for grade in (self.start["grades"][number],)}
-        return Seen(grades=grades, customers=frozenset(names["customers"]), parts=frozenset(self.parts), upstreams=ready, out=out,
+        return Seen(grades=grades, customers=frozenset(names["customers"]), parts=frozenset(self.parts), upstreams=ready, out=module.pick.mean_out.mean,
                     usual=usual)
 
     def take(self, version: Version):
