--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -25,8 +25,7 @@
 KEPT, UNASKED, RESTARTED = 60 * S, 5 * S, 1500 * MS    # gone: its place; refused, unprobed: left alone; dead
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 SLOW, SLACK = 1.4, 1.4      # times that from which answers bind room; times its limit a mean of few may reach
-LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3  # a look is waited for, counts, and is had so often
-AGAIN = 20 * MS             # until what waits at the gate looks again
+LOOK, SEEN, ROUNDS, AGAIN = 4 * MS, 8 * MS, 3, 20 * MS  # a look's longest wait, worth, times; until another
 ROOM, SURE = 3, 1.25        # out at one for all callers, always; times the expected time left to the goal
 HOLD, FEW = 0.2, 16         # longest wait at the gate, in goal times; first tries kept that ended unserved
 
@@ -167,7 +166,7 @@
         self.release(now, again=True)
 
     def release(self, now, again=False):
-        # Against asking at once those who have just said that they are busy, and all that wait asking together.
+        # Against asking those at once who have just said that they are busy, and all that wait asking together.
         while self.queue and (again or not self.core.pick.sees) and self.inner.take(now, self.queue[0]):
             again = self.leave(self.queue[0])
 
@@ -233,9 +232,9 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.listed, self.seen, self.ring, self.home, self.members, self.part = {}, {}, [], [], [], 1.0
+        self.listed, self.seen, self.places, self.home, self.ring, self.members = {}, {}, [], [], [], []
         self.best = [grade["goal_ns"] for grade in self.settings["grades"]]
-        self.looks, self.out, self.mean_out = {}, 0.0, Level(DONE_SPAN, core.now)
+        self.looks, self.out, self.part, self.mean_out = {}, 0.0, 1.0, Level(DONE_SPAN, core.now)
         self.crowd, self.values = 0.0, Sums(RATE_SPAN, core.now)
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
@@ -268,8 +267,9 @@
         self.listed = {u: now for u in self.listed if u.state != GONE}
         # Against every slice moving, with its connections, when a zone is lost: what is gone keeps its place.
         self.seen = {u: at for u, at in (self.seen | self.listed).items() if now - at < KEPT}
-        self.ring = sorted(self.seen, key=lambda u: crc32(u.address))
-        self.home = [u for u in self.ring if u.zone == self.settings.get("zone", u.zone)]
+        self.places = sorted(self.seen, key=lambda u: crc32(u.address))
+        self.ring = [u for u in self.places if u.state == READY]
+        self.home = [u for u in self.places if u.zone == self.settings.get("zone", u.zone)]
         self.review(now)
 
     def forget(self, now, upstream):
@@ -283,19 +283,19 @@
         upstream.warm_from, upstream.allowed_at, upstream.allowance = since, now, self.core.chance()
 
     def review(self, now):
-        core, count = self.core, sum(u.state == READY for u in self.ring)
+        core, count = self.core, len(self.ring)
         free = self.settings.get("connection_price") == self.settings.get("handshake_price") == 0
         away = exp(-self.settings.get("crossing_price", 0.0) / DEAR)
         # Against one that carries many times its fellows' load burying its few.
         self.out = max(0.98 * self.out, core.budget.rate.rate(now) * max(self.best) / S)
         width = max(WIDE if free else SLICE_LEAST, -(-CALLERS * count // core.balancers),
-                    -(-len(self.ring) // core.balancers), ceil(self.out / SPREAD))
+                    -(-len(self.places) // core.balancers), ceil(self.out / SPREAD))
         # Against many callers that each find little out of their own and together bury an upstream.
         self.part = ROOM * count / (core.balancers * max(1, min(count, width)))
         # Against crossing zones: what coverage does not need of the whole ring comes from the own zone's.
         members, fit = {}, 0
         near = min(len(self.home), round((1 - away) * (width - -(-count // core.balancers))))
-        for ring, most in (self.home, near), (self.ring, count):
+        for ring, most in (self.home, near), (self.places, count):
             for step in range(len(ring)):
                 # Against a slice that is mostly dead: reach further round.
                 if len(members) >= most or len(members) >= width and fit >= SLICE_LEAST:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -498,8 +498,7 @@
                 await until(lambda: served.control.members.rows["n"].running == 1)
                 module = node.core.module
                 assert module.settings["grades"][0]["limit_ns"] == 1500 * MS and module.settings["grades"][2]["effect"] == model.BINDING
-                ready = [u for u in module.pick.ring if u.state == model.READY]
-                    assert [u.address for u in ready] == [b"h0"] and ready[0].told == 2.0
+                assert [u.address for u in module.pick.ring] == [b"h0"] and module.pick.ring[0].told == 2.0
                 assert (await balancer.ask())[0] == 200
                 release.set()
                 assert (await balancer.answer(slow[0]))[0] == 200
