--- a/pepperhook/cli/main.py
+++ b/pepperhook/cli/main.py
@@ -155,8 +155,8 @@
         rows.append((key, value, variable if os.environ.get(variable) else path if here is not None else "default"))
     for key, (ours, factor) in settings.PLAIN.items():
         if ours in read.settings:
-            rows.append((f"settings.{key}", read.settings[ours] / (factor or 1) if factor != 1 else
-                         read.settings[ours], path))
+            plain = factor in (None, 1)     # yes and no, and what keeps its unit
+            rows.append((f"settings.{key}", read.settings[ours] if plain else read.settings[ours] / factor, path))
     for key, value in ("how", read.settings["reports"]), ("fields", read.settings["report_names"]):
         here = given["settings"].get("reporting") or {}
         rows.append((f"settings.reporting.{key}", value, path if key in here else "default"))
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -1,8 +1,12 @@
 """What many balancers of little traffic, beside their clients, decide otherwise: each by what it guards against."""
 
+import json
+
 import pytest
+from click.testing import CliRunner
 
 from pepperhook import model, policy, settings
+from pepperhook.cli import main
 from tests.world import ENV as PLATFORM
 from tests.world import MS, S, Peer, Running, World, answer, grade, loopback
 
@@ -187,6 +191,17 @@
             settings.read(ENV | {table: {key: faulty}})
 
 
+def test_config_show_tells_each_value_and_where_it_came_from(tmp_path):
+    env = ENV | {"callers": {"marksRetry": True}, "prices": {"crossZone": 0.03}, "reporting": {"how": "probe", "fields": ["outstanding"]}}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"listen": "127.0.0.1:7070", "discovery": "127.0.0.1:9", "settings": env}))
+    done = CliRunner().invoke(main, ["config", "show", "--json", "--config", str(path)], env={"LB_OPERATOR": None})
+    rows = {row["key"]: (row["value"], row["from"]) for row in json.loads(done.output)}
+    assert rows["settings.callers.marksRetry"] == (True, str(path)) and rows["settings.prices.crossZone"] == (0.03, str(path))
+    assert rows["settings.reporting.fields"] == (["outstanding"], str(path))
+    assert rows["settings.goal.tail"] == (None, "absent")
+
+
 ASKS = PLATFORM | {"reporting": {"how": "probe", "fields": ["outstanding", "backlog"]}, "groupSize": 300,
                    "prices": {"connection": 0.0, "handshake": 0.0}}
 
