--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -165,10 +165,10 @@
     world = Captured(5, tmp_path / "a")
     world.run(1500, chance=0.5)
     world.writer.close()
-    told = replay.play(tmp_path / "a", changed(tmp_path, "HOLD = 0.2 ", "HOLD = 0.21 "))
+    told = replay.play(tmp_path / "a", changed(tmp_path, "HOLD, FEW = 0.2, 16 ", "HOLD, FEW = 0.21, 16 "))
     assert told.difference is not None and told.difference.recorded != told.difference.replayed
     assert told.difference.name in ("take", "ended", "wake", "listing") and told.difference.stage
-    same = replay.play(tmp_path / "a", changed(tmp_path, "HOLD = 0.2 ", "HOLD = 0.20 "))
+    same = replay.play(tmp_path / "a", changed(tmp_path, "HOLD, FEW = 0.2, 16 ", "HOLD, FEW = 0.20, 16 "))
     assert same.difference is None
 
 
@@ -211,7 +211,7 @@
     world.run(50)
     world.writer.close()
     with pytest.raises(state.Refused) as problem:
-        replay.play(tmp_path / "b", changed(tmp_path, "self.queue = []", "self.queue, self.more = [], 1"))
+        replay.play(tmp_path / "b", changed(tmp_path, "self.queue, self.due = [], False", "self.queue, self.due, self.more = [], False, 1"))
     assert "shape" in str(problem.value)
     with pytest.raises(state.Refused) as problem:
         state.thaw(pickle.dumps(os.getcwd), {"Balancer": policy.Balancer})
@@ -255,7 +255,7 @@
         runner = CliRunner()
         assert runner.invoke(main, ["record", "replay", *map(str, files)]).exit_code == 0
         assert "capture" in runner.invoke(main, ["record", "info", str(files[0])]).output
-        (folder / "policy.py").write_text(Path(policy.__file__).read_text().replace("HOLD = 0.2 ", "HOLD = 'x' "))
+        (folder / "policy.py").write_text(Path(policy.__file__).read_text().replace("HOLD, FEW = 0.2, 16 ", "HOLD, FEW = 'x', 16 "))
         said = runner.invoke(main, ["record", "replay", str(files[0]), "--policy", str(folder / "nothing.py")])
         assert said.exit_code == 2
 
@@ -291,7 +291,7 @@
 
 def test_a_changed_constant_is_flagged_by_captured_days(tmp_path):
     assert len(DAYS) == 3
-    make = changed(tmp_path, "QUICK = 2.0 ", "QUICK = 1.2 ")
+    make = changed(tmp_path, "QUICK = 0.3, 0.02, 2.0 ", "QUICK = 0.3, 0.02, 1.2 ")
     assert any(replay.play(path, make).difference is not None for path in DAYS)
 
 
