--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,14 @@
 demo: set-up
 	.venv/bin/pepperhook demo
 
+# A proof that could not be run, as the machine was short of core, is begun anew; a verdict stands as it is.
 test: set-up
 	.venv/bin/pytest -q tests
 	@for proof in $$(.venv/bin/pepperhook lab proofs --names); do \
-	    .venv/bin/pepperhook lab prove $$proof --quick || exit 1; done
+	    for again in 1 2 3 4; do \
+	        .venv/bin/pepperhook lab prove $$proof --quick; verdict=$$?; \
+	        test $$verdict -eq 2 -a $$again -lt 4 || break; sleep 20; \
+	    done; test $$verdict -eq 0 || exit 1; done
 
 set-up: .venv/.set-up
 
--- a/pepperhook/lab/day.py
+++ b/pepperhook/lab/day.py
@@ -25,6 +25,7 @@
 S = 10 ** 9
 READY_S = 30        # in which every process must be ready
 LEAD_S = 1.2        # before its upstream comes back, a balancer beside it is begun
+STOLEN = 0.08       # of all cores, taken by others on the same hardware within a second; more and the day shows them
 SHORT_MS = 400      # that a process may wait for a core within a second; longer and the day shows the machine
 ROOT = Path(__file__).resolve().parents[2]
 LINE = re.compile(r"(\w+)=(\"(?:[^\"\\]|\\.)*\"|\S+)")
@@ -36,9 +37,11 @@
 
     def __init__(self):
         self.waited, self.worst_ms, self.who = {}, 0.0, None
+        self.ticks, self.stolen = None, 0.0
 
     def look(self, processes):
         """Rows of (name, process), about once a second; the worst wait since the last look is kept."""
+        self.theft()
         for name, process in processes:
             try:
                 with open(f"/proc/{process.pid}/schedstat", encoding="ascii") as file:
@@ -51,6 +54,19 @@
                 self.worst_ms, self.who = (waited - before) / 1e6, name
 
 
+    def theft(self, path="/proc/stat"):
+        """What a virtual machine does not get shows in no process of it: against such a second being taken for the program's."""
+        try:
+            with open(path, encoding="ascii") as file:
+                ticks = [int(figure) for figure in file.readline().split()[1:9]]
+        except (OSError, ValueError):
+            return
+        if self.ticks is not None and len(ticks) == 8 and sum(ticks) > sum(self.ticks):
+            share = (ticks[7] - self.ticks[7]) / (sum(ticks) - sum(self.ticks))
+            self.stolen = max(self.stolen, share)
+        self.ticks = ticks
+
+
 class Failed(RuntimeError):
     """The day could not be played."""
 
@@ -385,7 +401,8 @@
         first = sum(b.cpu_s - b.start_cpu_s for b in self.balancers.values() if b.tier == 0)
         told = {"experiment": self.day.name, "variant": self.variant.name, "seed": self.plan.seed,
                 "start": self.start, "interrupted": interrupted, "load": load,
-                "void": bool(load.get("void")) or self.cores.worst_ms > SHORT_MS,
+                "void": bool(load.get("void")) or (
+                    self.cores.worst_ms > SHORT_MS or self.cores.stolen > STOLEN),
                 "core_wait": {"worst_ms": round(self.cores.worst_ms), "who": self.cores.who},
                 "costs": costs, "first_tier_cpu_ms": round(first * 1000 / operations, 3),
                 **msgspec.to_builtins(report)}
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -11,7 +11,7 @@
 
 from pepperhook import model, policy, tomlfile
 from pepperhook.lab import audit, discovery, events, experiment, load
-from pepperhook.lab.day import Cores
+from pepperhook.lab.day import STOLEN, Cores
 from pepperhook.lab.experiment import Experiment, Plan
 from pepperhook.lab.machine import Machine
 from pepperhook.lab.network import Network, Relay
@@ -399,3 +399,12 @@
                     0, balancer.settings["grades"][0], 0, None, now + S)) if row[0] == "dispatch")
                 assert row[1].upstream is not upstreams[0]
                 balancer.ended(now + MS, row[1], model.FULFILLED, MS, True)
+
+
+def test_a_second_in_which_cores_were_taken_from_the_machine_is_seen(tmp_path):
+    # Against a day of a virtual machine that got a fifth less being a verdict on the program: it showed 65 operations lost.
+    cores, stat = Cores(), tmp_path / "stat"
+    for user, idle, stolen in (100, 1000, 5), (150, 1440, 15), (200, 1800, 100):
+        stat.write_text(f"cpu  {user} 0 0 {idle} 0 0 0 {stolen} 0 0\n")
+        cores.theft(str(stat))
+    assert cores.stolen == 85 / (50 + 360 + 85) > STOLEN
