--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -35,7 +35,6 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.lead = 2 * self.settings.get("tick_ns", MS)
         self.unserved = [deque(maxlen=FEW) for _ in self.settings["grades"]]
 
     def take(self, now, operation):
@@ -61,13 +60,12 @@
 
     def give_up(self, now, operation):
         # Against what can earn no more, or was kept with nothing out, holding an upstream and its client.
-        if operation.over or operation.streaming:
-            return
-        if not operation.out or self.settings.get("may_call_off") and self.harmless(operation):
+        moot = operation.over or operation.streaming
+        if not moot and (not operation.out or self.settings.get("may_call_off") and self.harmless(operation)):
             self.core.note(operation, "time up")
             self.call_off(operation)
             self.end(now, operation)
-        elif now < operation.not_after - self.lead:
+        elif not moot and now < operation.not_after - self.lead:
             self.core.later(operation.not_after - self.lead, self.give_up, operation)
 
     def call_off(self, operation):
@@ -239,11 +237,6 @@
         self.crowd, self.values = 0.0, Sums(RATE_SPAN, core.now)
         self.grades, self.costs = ([Sums(10 * S, core.now) for _ in self.settings["grades"]] for _ in "ab")
 
-    @property
-    def sees(self):
-        return self.settings.get("may_probe") and self.settings.get("reports") == "probe" and (
-            "in flight" in self.settings.get("report_fields", ()))
-
     def heft(self, operation):
         costs = self.costs[operation.grade["number"]]
         return operation.cost / costs.mean(self.core.now, operation.cost, 2) if operation.cost else 1.0
@@ -320,15 +313,14 @@
             upstream.near = upstream.told * (1 if upstream in self.home else away)
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
             upstream.weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
-            if upstream.dark_since is None:
-                continue
+            due = upstream.dark_since is not None and now >= upstream.probe_after
             # Against never asking again one that the list tells nothing of, where nothing may be probed.
-            if now < upstream.probe_after or self.settings.get("may_probe"):
-                upstream.weight = 0.0
-            else:
+            if due and not self.settings.get("may_probe"):
                 upstream.dark_since = None
-            if now >= upstream.probe_after and upstream.dark_since is not None:
+            elif due:
                 self.probe(upstream)
+            if upstream.dark_since is not None:
+                upstream.weight = 0.0
 
     def high(self, now, upstream):
         """A high quantile of its answer times, in usual times; what is long out counts as answered now."""
@@ -485,8 +477,8 @@
         if warmth == 1.0:
             return True
         # A cold one gets its share of a warm one's load, by the older rate too against a fleet all cold.
-        rate = max(self.core.budget.rate.rate(now), self.core.budget.steady.rate(now))
-        rate /= max(1, len(self.core.pick.members))
+        budget, few = self.core.budget, max(1, len(self.core.pick.members))
+        rate = max(budget.rate.rate(now), budget.steady.rate(now)) / few
         upstream.allowance = min(1.0, upstream.allowance + (now - upstream.allowed_at) / S * rate * warmth)
         upstream.allowed_at = now
         return upstream.allowance >= 1.0
@@ -546,12 +538,22 @@
             raise Missing("settings: grades is missing")
         super().__init__(seed, now)
         self.settings = settings
-        self.balancers, self.index = place(settings)
         self.answers, _, self.gate, self.budget, self.pick, self.sender = chain(
             stage(self) for stage in (Answers, Shares, Gate, Budget, Pick, Sender))
         self.discovery = Discovery(self)
+        self.settle(settings)
         self.every(REVIEW, self.review)
 
+    def settle(self, settings):
+        """Settings from now on; what is needed of them at each operation is made out once."""
+        told = dict(settings)
+        self.settings.clear()
+        self.settings.update(told)
+        self.balancers, self.index = place(told)
+        self.answers.lead = 2 * told.get("tick_ns", MS)
+        self.pick.sees = told.get("may_probe") and told.get("reports") == "probe" and (
+            "in flight" in told.get("report_fields", ()))
+
     def review(self, now):
         self.pick.review(now)
         self.gate.release(now)
@@ -597,9 +599,7 @@
 
     @call
     def retold(self, now, settings, weights):
-        self.settings.clear()
-        self.settings.update(settings)
-        self.balancers, self.index = place(settings)
+        self.settle(settings)
         for upstream, weight in weights:
             upstream.told = weight
         self.pick.review(now)
--- a/pepperhook/shadow/decide.py
+++ b/pepperhook/shadow/decide.py
@@ -4,7 +4,6 @@
 and after minutes every decision would differ for reasons that no setting has.
 """
 
-from pepperhook.model import place
 from pepperhook.record import state
 
 FINAL = ("shed", "break off")
@@ -32,9 +31,7 @@
     def __init__(self, module, settings: dict, about: tuple):
         frozen = state.freeze(module, about)
         self.module, self.about = state.thaw(frozen, {type(module).__name__: type(module)})
-        self.module.settings.clear()
-        self.module.settings.update(settings)
-        self.module.balancers, self.module.index = place(self.module.settings)
+        self.module.settle(settings)
 
     def call(self, name: str, now: int) -> list:
         if name == "take":
