Proof chain surely catches tries that are not split: what comes in takes two along

Seen reading the change over: with tries-unsplit planted the proof once held. An allowance that is the same at all tiers grows nowhere, and the circling chain's third turn is a matter of chance (2 or 3).

--- a/pepperhook/lab/audit.py
+++ b/pepperhook/lab/audit.py
@@ -15,6 +15,7 @@
 KILLED_NS = 2 * S       # round a balancer's death, in which what it had is lost with it
 DEADLY = ("crash", "cold", "replaced", "released")      # for an upstream's process
 COLD_NS = 4 * S         # after a cold start, in which what it is sent is counted
+MOST_TAKEN = 2              # further tries that an operation takes down the chain from where it comes in
 PROBES_NS = 3 * S       # between two probes that belong to one spell
 WINDOW = 10             # seconds of the worst stretch
 
@@ -361,9 +362,13 @@
             above, _, call = identity.rpartition("-")
             parents = self.by_id.get((tier - 1, above), ())
             number = int(call[:-1]) if call[:-1].isdigit() else 0
-            if not 0 < number <= len(parents) or parents[number - 1].tries < 0:
+            if not tier and not above:
+                # Against an allowance that is the same at all tiers, and so grows nowhere: what comes in takes so many along.
+                given = MOST_TAKEN
+            elif 0 < number <= len(parents) and parents[number - 1].tries >= 0:
+                given = parents[number - 1].tries
+            else:
                 continue
-            given = parents[number - 1].tries
             count += sum(work.tries > given for work in works)
             count += len(works) - 1 > given and works[0].tries >= 0
         return count
