--- a/pepperhook/control/part.py
+++ b/pepperhook/control/part.py
@@ -18,7 +18,7 @@
 from pepperhook.control.decide import Seen
 from pepperhook.control.document import Document, Forged, Keys, Version, decoded, proven
 from pepperhook.control.members import Settling
-from pepperhook.model import DRAINING, GONE, READY
+from pepperhook.model import DRAINING, GONE, READY, chance
 
 BEAT_S = 2.0            # between words on itself, give or take a quarter
 SILENT_S = 7.0          # without a frame a stream is dead
@@ -117,8 +117,8 @@
                 usual[name] = module.pick.usual(self.start["grades"][number]) / 1e6
         grades = {name: {"time_limit_ms": grade["limit_ns"] / 1e6, "goal_ms": grade["goal_ns"] / 1e6, "effect": grade["effect"]}
                   for name, number in names["grades"].items() for grade in (self.start["grades"][number],)}
-        return Seen(grades=grades, customers=frozenset(names["customers"]), parts=frozenset(self.parts), upstreams=ready, out=module.pick.mean_out.mean,
-                    usual=usual)
+        return Seen(grades=grades, customers=frozenset(names["customers"]), parts=frozenset(self.parts), upstreams=ready,
+                    out=module.pick.mean_out.mean, usual=usual)
 
     def take(self, version: Version):
         """One whole version: proven, checked, and only then applied, all in one turn of the event loop."""
@@ -208,7 +208,7 @@
 
     def chance(self):
         self.counter += 1
-        return crc32(b"%d" % crc32(b"control %d %d %s" % (self.config.seed, self.counter, self.config.name.encode()))) / 2 ** 32
+        return chance(b"control %d %d %s" % (self.config.seed, self.counter, self.config.name.encode()))
 
     async def follow(self):
         """One stream after another. Waits grow and are drawn, or a thousand that lost the service would come back together."""
--- a/pepperhook/gossip/swim.py
+++ b/pepperhook/gossip/swim.py
@@ -20,6 +20,8 @@
 
 from msgspec import Struct
 
+from pepperhook.model import chance
+
 MS, S = 10 ** 6, 10 ** 9
 ALIVE, SUSPECT, LOST, LEFT = range(4)
 STATES = ("alive", "suspect", "lost", "left")
@@ -124,7 +126,7 @@
 
     def chance(self) -> float:
         self.counter += 1
-        return crc32(b"%d" % crc32(b"%d %d" % (self.seed, self.counter))) / 2 ** 32
+        return chance(b"%d %d" % (self.seed, self.counter))
 
     def offset(self) -> int:
         """Where in its period a member begins, or all would probe together."""
--- a/pepperhook/quotas/part.py
+++ b/pepperhook/quotas/part.py
@@ -1,7 +1,6 @@
 """The limit on the seam: sheds what is over its customer's before the module sees it, with advice when to come back."""
 
-from zlib import crc32
-
+from pepperhook.model import chance
 from pepperhook.net.operation import Answer
 from pepperhook.quotas.decide import Limits
 
@@ -34,7 +33,7 @@
 
     def chance(self):
         self.counter += 1
-        return crc32(b"%d" % crc32(b"quotas %d %d" % (self.seed, self.counter))) / 2 ** 32
+        return chance(b"quotas %d %d" % (self.seed, self.counter))
 
     def arrived(self, now, operation, message):
         wait = self.limits.take(now, operation.customer)
--- a/pepperhook/record/capture.py
+++ b/pepperhook/record/capture.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pepperhook.model import InPlace
 from pepperhook.record import state
 from pepperhook.record.container import framed
 
@@ -78,13 +79,13 @@
         return told
 
 
-class Recorder:
+class Recorder(InPlace):
     """In a module's place: passes each call on, and tells of it. All else is the module's own.
 
     ``write(record, now, about)`` gets each framed record, its time, and the operation that it is about or None."""
 
     def __init__(self, module, settings, seed, now, write, mid_life=False):
-        self.__dict__.update(module=module, write=write, numbers=Numbers(), recorded=0)
+        super().__init__(module, write=write, numbers=Numbers(), recorded=0)
         if mid_life:
             # What it knows already are objects of the host's, too, and will be named by it.
             known = state.find(module, ("Operation", "Dispatch", "Upstream"))
@@ -96,12 +97,6 @@
         else:
             self.tell(["new", settings, seed, now], now)
 
-    def __getattr__(self, name):
-        return getattr(self.module, name)
-
-    def __setattr__(self, name, value):
-        setattr(self.module, name, value)       # the host takes what a failed call left, and clears it
-
     def tell(self, record, now=0, about=None):
         self.__dict__["recorded"] += 1
         self.write(framed(ENCODER.encode(record)), now, about)
--- a/pepperhook/record/trace.py
+++ b/pepperhook/record/trace.py
@@ -15,7 +15,7 @@
 import msgspec
 from msgspec import Struct
 
-from pepperhook.model import FULFILLED
+from pepperhook.model import FULFILLED, InPlace
 from pepperhook.record.capture import passes_on
 from pepperhook.record.container import framed
 
@@ -103,24 +103,18 @@
         self.life, self.dispatches, self.drawn, self.usable, self.reason, self.ended = life, {}, None, 0, "", None
 
 
-class Tracer:
+class Tracer(InPlace):
     """In the module's place. ``write(life)`` gets each life that is kept, once.
 
     ``grades`` and ``customers`` are the names behind the module's numbers; ``parent`` is a regular expression whose first group is the id
     that an id was made for."""
 
     def __init__(self, module, write: Callable[[Life], None], grades=(), customers=(), share=1.0, parent: str | None = None):
-        self.__dict__.update(
-            module=module, write=write, grade_names=list(grades), customer_names=list(customers), keep_below=share * 2 ** 32,
+        super().__init__(
+            module, write=write, grade_names=list(grades), customer_names=list(customers), keep_below=share * 2 ** 32,
             parent=re.compile(parent) if parent else None, lives={}, seen=0, kept=0)
         module.notes = []
 
-    def __getattr__(self, name):
-        return getattr(self.module, name)
-
-    def __setattr__(self, name, value):
-        setattr(self.module, name, value)
-
     def stop(self):
         """Gives the module back; lives that go on are kept as open."""
         self.module.notes = None
--- a/pepperhook/shadow/part.py
+++ b/pepperhook/shadow/part.py
@@ -2,7 +2,6 @@
 
 import json
 from collections import Counter
-from zlib import crc32
 
 from pepperhook import model, settings
 from pepperhook.shadow.decide import KINDS, Twin, Unlike, check, compare
@@ -14,7 +13,7 @@
     """Holds counts of fixed kinds; a twin lives for one call."""
 
     def __init__(self, told, config, log):
-        self.told_share, self.log, self.seed = told.share, log, config.seed
+        self.share, self.log, self.seed = told.share, log, config.seed
         self.counts, self.compared, self.passed, self.faults, self.counter = Counter(), 0, 0, 0, 0
         try:
             with open(told.settings, encoding="utf-8") as file:
@@ -33,8 +32,7 @@
     def chosen(self) -> bool:
         """A share of the calls, by a chance of its own: the module's draws are not touched."""
         self.counter += 1
-        return self.faults < MOST_FAULTS and (
-            crc32(b"%d" % crc32(b"shadow %d %d" % (self.seed, self.counter))) < self.told_share * 2 ** 32)
+        return self.faults < MOST_FAULTS and model.chance(b"shadow %d %d" % (self.seed, self.counter)) < self.share
 
     def fault(self, name, problem):
         self.faults += 1
@@ -46,20 +44,14 @@
         return {"name": "shadow", "calls": self.passed, "compared": self.compared, "faults": self.faults, **kinds}
 
 
-class Watched:
+class Watched(model.InPlace):
     """In the module's place; all that is not a call to compare is the module's own."""
 
     def __init__(self, module, shadow):
         own = module
         while "module" in vars(own):        # behind others that stand in its place, as a recorder does
             own = own.module
-        self.__dict__.update(module=module, own=own, shadow=shadow)
-
-    def __getattr__(self, name):
-        return getattr(self.module, name)
-
-    def __setattr__(self, name, value):
-        setattr(self.module, name, value)
+        super().__init__(module, own=own, shadow=shadow)
 
     def take(self, now, operation):
         return self.twice("take", now, operation)
