Given up ahead by what clients wait, so their repeat ends in time; no queue where asked

Ruled out: what the gate sheds (it comes back in time), repeats that were not told (under 0.5%), answers late at upstreams. Change: where goal.tail is set a first try is given up ahead of its goal time by the mean wait and two deviations, if a third of those shed came back and that is under 0.6 of the goal; by 0.15 while nothing is known; a repeat with less than its usual time left is shed as it comes. Heard at once, nothing is parked.

--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -88,6 +88,11 @@
         weight = self.weight + strength
         return (self.total + prior * strength) / weight if weight else prior
 
+    def beyond(self, deviations):
+        """Mean plus so many deviations."""
+        mean = self.total / self.weight
+        return mean + deviations * sqrt(max(0.0, self.squares / self.weight - mean * mean))
+
     def high(self, more=()):
         """Mean plus one deviation, with ``more`` counted in; of few it is drawn to 0 and a deviation of its root."""
         weight, total, squares = self.weight + 2, self.total, self.squares + 1
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -8,7 +8,7 @@
 
 from pepperhook.model import (
     CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RESET, RETRIABLE, SPOILT, TIMED_OUT,
-    UNCONNECTED, Clockwork, Dispatch, Level, Missing, Stage, Sums, call, chain, place)
+    UNCONNECTED, Clockwork, Dispatch, Level, Stage, Sums, call, chain, place)
 
 MS, S = 1_000_000, 1_000_000_000
 REVIEW = 200 * MS           # how often upstreams are judged afresh
@@ -25,9 +25,9 @@
 KEPT, UNASKED, RESTARTED = 60 * S, 5 * S, 1500 * MS    # gone: its place; refused, unprobed: left alone; dead
 CROWD, QUEUED = 0.35, 2.5   # mean time out that is let grow, in goal times and in quickest usual times
 SLOW, SLACK = 1.4, 1.4      # times that from which answers bind room; times its limit a mean of few may reach
-LOOK, SEEN, ROUNDS, AGAIN = 4 * MS, 8 * MS, 3, 20 * MS  # a look's longest wait, worth, times; until another
-ROOM, SURE = 3, 1.25        # out at one for all callers, always; times the expected time left to the goal
-HOLD, FEW = 0.2, 16         # longest wait at the gate, in goal times; first tries kept that ended unserved
+LOOK, SEEN, ROUNDS = 4 * MS, 8 * MS, 3  # a look's longest wait; how long it counts; how often for one
+ROOM, FEW = 3, 16           # out at one for all callers, always; first tries kept that ended unserved
+HOLD, EARLY, MOST = 0.2, 0.15, 0.6      # goal times: wait at the gate; given up ahead, clients unknown; most
 
 
 class Answers(Stage):
@@ -36,11 +36,14 @@
     def __init__(self, core):
         super().__init__(core)
         self.unserved = [deque(maxlen=FEW) for _ in self.settings["grades"]]
+        self.ends, self.backs = Sums(KEPT, core.now), Sums(KEPT, core.now)
 
     def take(self, now, operation):
         operation.taken = now
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
         self.inherit(now, operation)
+        if self.settings.get("tail") and self.wanes(operation):
+            operation.goal_at -= self.ahead(now, operation)
         late_at = (operation.goal_at if self.wanes(operation) else operation.not_after) - self.lead
         self.core.later(max(now, late_at), self.give_up, operation)
         if late_at <= now or not self.inner.take(now, operation):
@@ -50,10 +53,20 @@
     def inherit(self, now, operation):
         # Against work past the goal: a client waits for the limit in all, which tells a repeat's first try.
         grade, marked = operation.grade, operation.repeat and self.settings.get("marks_repeats")
-        firsts = [first for first in self.unserved[grade["number"]] if now - first < grade["limit_ns"]]
-        told = [first for first in firsts if abs(first + grade["limit_ns"] - operation.not_after) < self.lead]
-        for first in told or (firsts[-1:] if marked else ()):
+        firsts = [kept for kept in self.unserved[grade["number"]] if now - kept[0] < grade["limit_ns"]]
+        told = [kept for kept in firsts if abs(kept[0] + grade["limit_ns"] - operation.not_after) < self.lead]
+        for first, ended in (told or firsts * bool(marked))[-1:]:
             operation.taken, operation.goal_at = first, min(first + grade["goal_ns"], operation.goal_at)
+            self.backs.add(now, now - ended)
+
+    def ahead(self, now, operation):
+        # Against one given up at its goal time, whose client comes back for an answer behind it: a miss.
+        ends, backs = self.ends.fade(now).weight, self.backs.fade(now).weight
+        if operation.taken < now:       # a repeat: shed as it comes where no time is left for it
+            return int(self.core.pick.usual(operation.grade))
+        goal = operation.grade["goal_ns"]
+        wait = self.backs.beyond(2) if backs > 0.1 else EARLY * goal
+        return int(wait) if 3 * backs >= ends - 0.5 and wait < MOST * goal else 0
 
     def wanes(self, operation):
         return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
@@ -81,12 +94,13 @@
             return
         operation.over = True
         self.core.gate.leave(operation)     # else one whose time was up kept all behind it waiting
-        self.unserved[operation.grade["number"]].append(operation.taken)
+        self.unserved[operation.grade["number"]].append((operation.taken, now))
+        self.ends.add(now)
         if self.harmless(operation):
             # Advice is spread out, against all that were shed coming back at once.
-            advice = int((0.5 + self.core.chance()) * operation.grade["goal_ns"])
             longest = self.settings.get("longest_advice_ns", S) if self.settings.get("may_advise") else 0
-            self.core.out.append(("shed", operation, min(advice, longest)))
+            advice = min(longest, int((0.5 + self.core.chance()) * operation.grade["goal_ns"]))
+            self.core.out.append(("shed", operation, advice))
         else:
             self.core.out.append(("break off", operation))
 
@@ -128,11 +142,13 @@
 
     def __init__(self, core):
         super().__init__(core)
-        self.queue, self.due = [], False
+        self.queue = []
 
     def take(self, now, operation):
-        if not self.queue and self.inner.take(now, operation):
-            return True
+        taken = not self.queue and self.inner.take(now, operation)
+        # Where upstreams were asked and none has room, waiting gains nothing over a client's own next try.
+        if taken or self.core.pick.sees:
+            return taken
         operation.waiting = True
         self.queue.append(operation)
         self.queue.sort(key=lambda kept: (-kept.value, kept.taken))
@@ -140,9 +156,6 @@
         until = operation.taken + int(HOLD * operation.grade["goal_ns"])
         self.core.later(max(now, until), self.drop, operation)
         self.release(now)
-        if self.core.pick.sees and not self.due:
-            self.due = True
-            self.core.later(now + AGAIN, self.again, None)
         while len(self.queue) > 2 * max(1, len(self.core.pick.members)):
             self.core.note(self.queue[-1], "least worth", len(self.queue))
             self.core.answers.end(now, self.queue[-1])
@@ -158,16 +171,9 @@
             self.core.note(operation, "waited in vain")
             self.core.answers.end(now, operation)
 
-    def again(self, now, _):
-        self.due = bool(self.queue)
-        if self.due:
-            self.core.later(now + AGAIN, self.again, None)
-        self.release(now, again=True)
-
-    def release(self, now, again=False):
-        # Against asking those at once who just said that they are busy, and all that wait asking together.
-        while self.queue and (again or not self.core.pick.sees) and self.inner.take(now, self.queue[0]):
-            again = self.leave(self.queue[0])
+    def release(self, now):
+        while self.queue and self.inner.take(now, self.queue[0]):
+            self.leave(self.queue[0])
 
     def ended(self, now, dispatch):
         self.outer.ended(now, dispatch)
@@ -312,15 +318,14 @@
             upstream.slow = high * (1 + 4 * fault)
             upstream.near = upstream.told * (1 if upstream in self.home else away)
             sound = min(1.0, (1 - fault) / (1 - fair)) if fair < 1 else 1.0
-            upstream.weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
             due = upstream.dark_since is not None and now >= upstream.probe_after
             # Against never asking again one that the list tells nothing of, where nothing may be probed.
             if due and not self.settings.get("may_probe"):
                 upstream.dark_since = None
             elif due:
                 self.probe(upstream)
-            if upstream.dark_since is not None:
-                upstream.weight = 0.0
+            weight = max(TRICKLE, warmth * (min(QUICK, middle / high) * sound) ** 2)
+            upstream.weight = weight if upstream.dark_since is None else 0.0
 
     def high(self, now, upstream):
         """A high quantile of its answer times, in usual times; what is long out counts as answered now."""
@@ -354,10 +359,8 @@
         return True
 
     def looked(self, now, operation):
-        if self.looks.pop(operation, None) is None:
-            return
         take = self.take if operation.dispatches else self.core.gate.take
-        if not operation.over and not take(now, operation):
+        if self.looks.pop(operation, None) and not operation.over and not take(now, operation):
             self.core.answers.end(now, operation)
 
     def room(self, now, upstream, operation, ease):
@@ -367,7 +370,7 @@
         held = self.held(now, upstream)
         if held is not None:
             best = min(self.best[operation.grade["number"]], self.usual(operation.grade))
-            return now + SURE * (held + 1) * best / min(1.0, ease) < operation.goal_at
+            return now + (held + 1) * best / min(1.0, ease) < operation.goal_at
         # Little's law, against burying one, or one that only times out: what was given up still runs there.
         out, done = len(upstream.pending) + upstream.ghosts.fade(now).weight, upstream.done.fade(now)
         limit = max(self.part, done.total / done.span)
@@ -486,8 +489,7 @@
     def send(self, now, operation, upstream):
         if not self.may(now, operation, upstream):
             return False
-        if upstream.warm_from is not None:
-            upstream.allowance -= 1
+        upstream.allowance -= 1     # of no account once it is warm
         self.core.pick.level(now)
         dispatch = Dispatch(operation, upstream, now)
         operation.dispatches.append(dispatch)
@@ -534,8 +536,6 @@
     """One balancer: its chain, its clockwork and the calls from outside."""
 
     def __init__(self, settings, seed, now):
-        if not settings.get("grades"):
-            raise Missing("settings: grades is missing")
         super().__init__(seed, now)
         self.settings = settings
         self.answers, _, self.gate, self.budget, self.pick, self.sender = chain(
