A client's limit under the goal time is not lessened by what others wait

Seen on reading: Answers.take took the time ahead off goal_at, which is the client's limit where that is shorter than the goal; an operation with 140 ms left, of a goal of 1 s, was shed as it came (150 ms ahead while nothing is known). Change: the bound counts from the first try's taking (Answers.early); the lesser of it and the limit holds.

--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -43,7 +43,7 @@
         operation.goal_at = min(now + operation.grade["goal_ns"], operation.not_after)
         self.inherit(now, operation)
         if self.settings.get("tail") and self.wanes(operation):
-            operation.goal_at -= self.ahead(now, operation)
+            operation.goal_at = min(operation.goal_at, self.early(now, operation))
         late_at = (operation.goal_at if self.wanes(operation) else operation.not_after) - self.lead
         self.core.later(max(now, late_at), self.give_up, operation)
         if late_at <= now or not self.inner.take(now, operation):
@@ -59,14 +59,14 @@
             operation.taken, operation.goal_at = first, min(first + grade["goal_ns"], operation.goal_at)
             self.backs.add(now, now - ended)
 
-    def ahead(self, now, operation):
+    def early(self, now, operation):
         # Against one given up at its goal time, whose client comes back for an answer behind it: a miss.
         ends, backs = self.ends.fade(now).weight, self.backs.fade(now).weight
-        if operation.taken < now:       # a repeat: shed as it comes where no time is left for it
-            return int(self.core.pick.usual(operation.grade))
-        goal = operation.grade["goal_ns"]
+        goal, again = operation.grade["goal_ns"], operation.taken < now
         wait = self.backs.beyond(2) if backs > 0.1 else EARLY * goal
-        return int(wait) if 3 * backs >= ends - 0.5 and wait < MOST * goal else 0
+        if again or 3 * backs < ends - 0.5 or wait > MOST * goal:
+            wait = again * self.core.pick.usual(operation.grade)    # no time for it: shed as it comes
+        return operation.taken + goal - int(wait)
 
     def wanes(self, operation):
         return not operation.grade["late_earnings"] and self.settings.get("may_call_off")
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -78,6 +78,17 @@
     assert all(one >= 980 for one in kept[2:])
 
 
+def test_a_client_that_waits_less_than_the_goal_time_is_not_shed_for_those_that_come_back():
+    # Against a short limit lessened by what others wait: nothing of it was left, and each of its operations was shed as it came.
+    world = mute(25, tail=0.3)
+    first = world.offer(0, limit=140 * MS)
+    assert first.dispatches and first not in world.answered
+    world.step(130 * MS)
+    assert first not in world.answered
+    world.step(9 * MS)
+    assert world.answered[first] == "shed"
+
+
 def test_a_repeat_without_time_for_it_is_shed_as_it_comes():
     # Against work for what has hardly any time left, which is then called off and may still run.
     world = mute(24, tail=0.3)
