Read over: one just behind another is no repeat of it; asked ones never wait; measures made one

Told now only of what began more than two ticks ago, and looked up by when the first try began. Where settings that ask upstreams come on a reload while something waits, what came was shed without asking (Gate.take); asked now. Written twice, now once: mean plus deviations (Sums.beyond, Sums.high); when an operation's goal time differs is compared in shadow/decide.py with the rest. Ruled out by taking each part away in turn: no line of giving up ahead or of the gate that a test does not miss (seven changes, each fails one to three tests).

--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -56,6 +56,12 @@
     """A setting that the decisions cannot do without is absent."""
 
 
+def beyond(weight, total, squares, deviations):
+    """Mean plus so many deviations, from a weight, a sum and a sum of squares."""
+    mean = total / weight
+    return mean + deviations * sqrt(max(0.0, squares / weight - mean * mean))
+
+
 class Sums:
     """Weight, sum and sum of squares of what was seen, each fading over ``span``; up to date when read."""
 
@@ -90,16 +96,14 @@
 
     def beyond(self, deviations):
         """Mean plus so many deviations."""
-        mean = self.total / self.weight
-        return mean + deviations * sqrt(max(0.0, self.squares / self.weight - mean * mean))
+        return beyond(self.weight, self.total, self.squares, deviations)
 
     def high(self, more=()):
         """Mean plus one deviation, with ``more`` counted in; of few it is drawn to 0 and a deviation of its root."""
         weight, total, squares = self.weight + 2, self.total, self.squares + 1
         for value in more:
             weight, total, squares = weight + 1, total + value, squares + value * value
-        mean = total / weight
-        return mean + sqrt(max(0.0, squares / weight - mean * mean))
+        return beyond(weight, total, squares, 1)
 
 
 class Level:
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -53,9 +53,9 @@
     def inherit(self, now, operation):
         # Against work past the goal: a client waits for the limit in all, which tells a repeat's first try.
         grade, marked = operation.grade, operation.repeat and self.settings.get("marks_repeats")
-        firsts = [kept for kept in self.unserved[grade["number"]] if now - kept[0] < grade["limit_ns"]]
-        told = [kept for kept in firsts if abs(kept[0] + grade["limit_ns"] - operation.not_after) < self.lead]
-        for first, ended in (told or firsts * bool(marked))[-1:]:
+        kept, begun = self.unserved[grade["number"]], operation.not_after - grade["limit_ns"]
+        told = [k for k in kept if abs(k[0] - begun) < self.lead < now - k[0]]
+        for first, ended in (told or [k for k in kept if marked and now - k[0] < grade["limit_ns"]])[-1:]:
             operation.taken, operation.goal_at = first, min(first + grade["goal_ns"], operation.goal_at)
             self.backs.add(now, now - ended)
 
@@ -145,8 +145,8 @@
         self.queue = []
 
     def take(self, now, operation):
-        taken = not self.queue and self.inner.take(now, operation)
-        # Where upstreams were asked and none has room, waiting gains nothing over a client's own next try.
+        # Where upstreams are asked and none has room, waiting gains nothing over a client's own next try.
+        taken = (self.core.pick.sees or not self.queue) and self.inner.take(now, operation)
         if taken or self.core.pick.sees:
             return taken
         operation.waiting = True
--- a/pepperhook/shadow/decide.py
+++ b/pepperhook/shadow/decide.py
@@ -75,10 +75,11 @@
     return "not held" if would == "dispatch" else "held"
 
 
-def compare(real, twin) -> list[str]:
-    """The kinds in which the twin's results differ from the real ones; an empty list where they are the same."""
+def compare(real, twin, goals=(None, None)) -> list[str]:
+    """The kinds in which the twin's results differ from the real ones; an empty list where they are the same. ``goals``: until when both
+    work for an operation that came. To give it up is seldom the next wake-up, so results don't show that."""
     (mine, asked, wake), (its, would_ask, would_wake) = outcome(real), outcome(twin)
     found = [differs(mine.get(one), its.get(one)) for one in {**mine, **its}]
     found += ["asked"] * bool(would_ask - asked) + ["not asked"] * bool(asked - would_ask)
-    found += ["another time"] * (wake != would_wake)
+    found += ["another time"] * (wake != would_wake or goals[0] != goals[1])
     return [kind for kind in found if kind is not None]
--- a/pepperhook/shadow/part.py
+++ b/pepperhook/shadow/part.py
@@ -79,9 +79,8 @@
         results = getattr(self.module, name)(now, *about)
         if twin is not None:
             try:
-                kinds = compare(results, would)
-                if name == "take" and about[0].goal_at != twin.about[0].goal_at and "another time" not in kinds:
-                    kinds.append("another time")    # to give up: seldom the next wake-up, so results don't show it
+                goals = (about[0].goal_at, twin.about[0].goal_at) if name == "take" else (None, None)
+                kinds = compare(results, would, goals)
                 mine, its = ([u.address for u in module.pick.members] for module in (self.own, twin.module))
                 shadow.counts.update(kinds + ["another slice"] * (mine != its))
                 shadow.compared += 1
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -89,6 +89,27 @@
     assert world.answered[first] == "shed"
 
 
+def test_another_operation_just_behind_one_shed_at_once_is_no_repeat_of_it():
+    # Against all that come in a rush being told from one another's limits: each was taken for the last one's client coming back.
+    world = mute(26, tail=0.3)
+    first = world.offer(0, limit=MS)
+    assert world.answered[first] == "shed"
+    world.step(MS)
+    other = world.offer(0)
+    assert other.taken == world.now and not world.balancer.answers.backs.weight
+
+
+@loopback
+async def test_on_sockets_marked_repeats_teach_it_how_long_clients_wait():
+    env = ENV | {"serviceGrades": [dict(row, goalTimeUs=500000) for row in ENV["serviceGrades"]], "goal": {"tail": 0.3},
+                 "callers": {"marksRetry": True}, "permissions": ENV["permissions"] | {"cancel": True}}
+    async with Peer(lambda head, body: None) as peer, Running([peer.dial], env=env) as running:
+        assert (await running.ask())[0] == 503
+        answers = running.node.core.module.answers
+        assert answers.ends.weight == 1 and not answers.backs.weight
+        assert (await running.ask(X_Retried="1"))[0] == 503 and answers.backs.weight == 1 and len(peer.seen) <= 2
+
+
 def test_a_repeat_without_time_for_it_is_shed_as_it_comes():
     # Against work for what has hardly any time left, which is then called off and may still run.
     world = mute(24, tail=0.3)
