--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -632,3 +632,52 @@
             node.upstreams.send(model.Dispatch(operation, upstream, node.core.now()), 9 * S, Message("GET", "/", [], b""), inbox)
             assert (await inbox.get())[2] == model.MOOT
         assert upstream.dark_since is None and (await balancer.ask())[0] == 200
+
+
+@loopback
+async def test_each_request_on_a_kept_connection_is_its_own_tenants():
+    env = dict(ENV, orgs=[{"name": "acme"}, {"name": "other"}])
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial], env=env) as balancer:
+        taken, begin = [], balancer.node.operations.begin
+        balancer.node.operations.begin = lambda operation, message: taken.append(operation) or begin(operation, message)
+        reader, writer = await asyncio.open_connection("127.0.0.1", balancer.port)
+        for path, method, tenant in ("/look", b"GET", "acme"), ("/pay", b"POST", "other"), ("/look", b"GET", None), ("/pay", b"POST", "acme"):
+            writer.write(balancer.message(path, method, b"1" if method == b"POST" else b"", X_Tenant_Id=tenant))
+            assert (await balancer.answer(reader))[0] == 200
+        writer.close()
+        assert [(one.customer, one.grade["number"]) for one in taken] == [(0, 0), (1, 1), (None, 0), (0, 1)]
+
+
+@loopback
+async def test_the_list_gets_its_socket_when_clients_hold_all_of_theirs(tmp_path):
+    # The program with 64 descriptors in all, as the system counts them; its list is away until clients hold what they may.
+    held = []
+
+    def script(head, _):
+        return None if b"since" in head else answer(body=b'{"seq":1,"whole":true,"hosts":' + json_hosts(peer.dial) + b"}")
+
+    async with Peer(lambda *_: answer()) as peer:
+        balancer, at = Running(), free_port()
+        balancer.port = free_port()
+        limited = ("import os, resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)); "
+                   "os.execv(sys.executable, [sys.executable, '-B', '-m', 'pepperhook'])")
+        process = start({**write(tmp_path, discovery=f"127.0.0.1:{at}"), "LB_LISTEN": f"127.0.0.1:{balancer.port}"}, "-c", limited)
+        while "event=started" not in (line := await asyncio.to_thread(process.stderr.readline)):
+            assert line, "the program has ended"
+        for _ in range(200):
+            held.append(await asyncio.open_connection("127.0.0.1", balancer.port))
+        while "event=list_failed" not in await asyncio.to_thread(process.stderr.readline):
+            pass
+        catalog = Peer(script)
+        catalog.server = await asyncio.start_server(catalog.serve, "127.0.0.1", at)
+        while len(catalog.seen) < 2:
+            await asyncio.sleep(0.01)
+        assert (await balancer.ask("/_health"))[0] == 200 and (await balancer.ask())[0] == 200
+        process.send_signal(signal.SIGTERM)
+        for _, writer in held:
+            writer.close()
+        out, err = await asyncio.to_thread(process.communicate, timeout=60)
+        assert process.returncode == 0 and "Too many open files" not in err and "Traceback" not in err
+        catalog.server.close()
+        for writer in list(catalog.writers):
+            writer.close()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -84,9 +84,9 @@
         return held.getsockname()[1]
 
 
-def start(environ):
+def start(environ, *arguments):
     kept = {name: os.environ[name] for name in ("PATH", "PYTHONPATH") if name in os.environ}
-    return subprocess.Popen([sys.executable, "-B", "-m", "pepperhook"], env={**kept, **environ}, text=True,
+    return subprocess.Popen([sys.executable, *(arguments or ("-B", "-m", "pepperhook"))], env={**kept, **environ}, text=True,
                             stdout=subprocess.PIPE, stderr=subprocess.PIPE)
 
 
