Peers of the repeats part take what the doors are told of a client's presence

Seen: four tests of test_repeats hung. PeerDoors.message (repeats/peers.py) had five arguments where the front passes six since the last word came: a TypeError, so each request between edges was broken off.

--- a/pepperhook/repeats/peers.py
+++ b/pepperhook/repeats/peers.py
@@ -39,8 +39,8 @@
     def health(self):
         return 200, f"epoch {self.peers.ownership.told.epoch}\n"
 
-    def message(self, method, target, headers, body, peer):
-        message = super().message(method, target, headers, body, peer)
+    def message(self, method, target, headers, *rest):
+        message = super().message(method, target, headers, *rest)
         epoch = headers.get(EPOCH)
         if epoch != str(self.peers.ownership.told.epoch):
             raise Refused(MISDIRECTED, f"{EPOCH}: this member has epoch {self.peers.ownership.told.epoch}")
