Effects are called safe, keyed and unsafe, the field's words, over the whole tree

The values keep the words that stand in captures and on the stream of control, and settings keys (binding_s, retriable_s, call_off_binding) stay.

--- a/pepperhook/chain/decide.py
+++ b/pepperhook/chain/decide.py
@@ -245,7 +245,7 @@
     def answer(self, now: int, state: State, kind: str) -> Up:
         """``kind``: "fulfilled", "shed" or "broken off"."""
         if state.end not in (LOOP, LATE):
-            # A retriable one that failed is shed, too, as trying again is harmless; only one that never ran says overload.
+            # A safe one that failed is shed, too, as trying again is harmless; only one that never ran says overload.
             state.end = SERVED if kind == "fulfilled" else SHED if kind == "shed" and not state.ran else FAILED
             if state.end != SERVED and state.pointless in (LOOP, LATE):
                 state.end = state.pointless     # the tiers above must not try it again either
--- a/pepperhook/control/decide.py
+++ b/pepperhook/control/decide.py
@@ -6,7 +6,7 @@
 from msgspec import Struct
 
 from pepperhook.control.document import EFFECTS, Document, differences
-from pepperhook.model import BINDING
+from pepperhook.model import UNSAFE
 
 MOST_STEP = 0.5         # of a number's value that may move at once, without being forced
 STEP_KEYS = ("time_limit_ms", "goal_ms", "earnings", "late_earnings", "key_ttl_ms", "quota_per_s", "share", "weight",
@@ -44,7 +44,7 @@
             if step > MOST_STEP:
                 found.append(Refusal("step", key, f"moves by {step:.0%} at once, {MOST_STEP:.0%} at the most"))
         if leaf == "effect" and old == "at_most_once":
-            found.append(Refusal("effect", key, "a binding grade would be repeated"))
+            found.append(Refusal("effect", key, "an unsafe grade would be repeated"))
     drained = {name for name, row in told.upstreams.items() if row.drain}
     if known and drained >= known:
         found.append(Refusal("drains all", "upstreams", f"drains every upstream that members know ({len(known)})"))
@@ -69,10 +69,10 @@
         if grade.time_limit_ms is not None and usual is not None and grade.time_limit_ms < usual:
             found.append(Refusal("limit", f"{key}.time_limit_ms", f"answers take {usual:.0f} ms here"))
         if grade.effect is not None and EFFECTS[grade.effect] != own["effect"]:
-            if own["effect"] == BINDING:
-                found.append(Refusal("effect", f"{key}.effect", "a binding grade would be repeated"))
+            if own["effect"] == UNSAFE:
+                found.append(Refusal("effect", f"{key}.effect", "an unsafe grade would be repeated"))
             elif "idempotent" in (grade.effect, name_of(own["effect"])):
-                # GET for what is retriable, POST for all else.
+                # GET for what is safe, POST for all else.
                 found.append(Refusal("method", f"{key}.effect", "clients would have to send it by another method"))
     for name in told.customers:
         if name not in seen.customers:
--- a/pepperhook/control/document.py
+++ b/pepperhook/control/document.py
@@ -14,7 +14,7 @@
 from pepperhook.operator.schema import Above0, Customers, Share
 
 Effect = Literal["idempotent", "deduplicated", "at_most_once"]
-EFFECTS = {"idempotent": model.RETRIABLE, "deduplicated": model.FINGERPRINTED, "at_most_once": model.BINDING}
+EFFECTS = {"idempotent": model.SAFE, "deduplicated": model.KEYED, "at_most_once": model.UNSAFE}
 From0 = Annotated[float, Meta(ge=0)]
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
 
--- a/pepperhook/lab/baselines.py
+++ b/pepperhook/lab/baselines.py
@@ -31,7 +31,7 @@
     def usable(self, now, operation):
         tried = {d.upstream for d in operation.dispatches}
         ready = [u for u in self.listed if u.state == READY and self.fit(now, u)]
-        if operation.grade["effect"] == model.FINGERPRINTED and operation.grade["group"] != "all":
+        if operation.grade["effect"] == model.KEYED and operation.grade["group"] != "all":
             doubtful = [d.upstream for d in operation.dispatches if d.may_have_run]
             ready = [u for u in ready if all(getattr(d, operation.grade["group"]) == getattr(
                 u, operation.grade["group"]) for d in doubtful)]
@@ -52,8 +52,8 @@
     def repeatable(self, now, operation):
         doubtful = [d for d in operation.dispatches if d.may_have_run]
         effect = operation.grade["effect"]
-        return not doubtful or effect == model.RETRIABLE or (
-            effect == model.FINGERPRINTED and now <= doubtful[0].sent + operation.grade["window_ns"])
+        return not doubtful or effect == model.SAFE or (
+            effect == model.KEYED and now <= doubtful[0].sent + operation.grade["window_ns"])
 
     def send(self, now, operation):
         if operation.over:
@@ -70,7 +70,7 @@
     def end(self, now, operation):
         if not operation.over:
             operation.over = True
-            harmless = operation.grade["effect"] == model.RETRIABLE or not any(
+            harmless = operation.grade["effect"] == model.SAFE or not any(
                 d.may_have_run for d in operation.dispatches)
             self.out.append(("shed", operation, 0) if harmless and not operation.out else ("break off", operation))
 
--- a/pepperhook/lab/crooked.py
+++ b/pepperhook/lab/crooked.py
@@ -129,7 +129,7 @@
         limit_s = head.number(b"x-timeout-ms", 1000) / 1000
         bad = chance.share("crooked", identity) < 1 / EVERY
         way = self.way if bad else None
-        binding = grade["effect"] == "at_most_once"
+        unsafe = grade["effect"] == "at_most_once"
         headers = [(name, head.headers[name.lower()]) for name in (b"X-Request-ID", b"Idempotency-Key")
                    if name.lower() in head.headers]
         headers.append((b"X-Timeout-Ms", b"%d" % max(1, int(limit_s * 1000))))
@@ -150,7 +150,7 @@
             second = send()
             await second.told
         status, said, never = await first.told
-        if way == "reruns" and binding and status == 200:
+        if way == "reruns" and unsafe and status == 200:
             status, said, never = await send().told
         if way == "repeats-late" and grade["effect"] == "deduplicated" and status == 200:
             await asyncio.sleep(grade["keyTtlUs"] / 1e6 + 0.3)
@@ -160,7 +160,7 @@
             return
         if way == "late":
             await asyncio.sleep(limit_s + 0.06)
-        if way == "sheds-what-ran" and binding:
+        if way == "sheds-what-ran" and unsafe:
             writer.write(wire.answer(503, b"shed\n"))
         elif status == 200:
             writer.write(wire.answer(200, said) * (2 if way == "twice" else 1))
--- a/pepperhook/lab/planted.py
+++ b/pepperhook/lab/planted.py
@@ -193,7 +193,7 @@
 
 
 def window_forgotten():
-    """A fingerprinted operation is sent again also when its window is over."""
+    """A keyed operation is sent again also when its window is over."""
     from pepperhook import policy
     plain = policy.Sender.repeatable
 
@@ -204,7 +204,7 @@
 
 
 def group_forgotten():
-    """A fingerprinted operation is sent again outside of its group, too."""
+    """A keyed operation is sent again outside of its group, too."""
     from pepperhook import policy
     plain = policy.Sender.repeatable
     policy.Sender.repeatable = lambda self, now, operation, upstream=None, but=None: plain(self, now, operation, None, but)
--- a/pepperhook/lab/proofs/auditor.py
+++ b/pepperhook/lab/proofs/auditor.py
@@ -15,10 +15,10 @@
               "patient": "the auditor lets late answers pass",
               "trusting": "the auditor does not look who made an answer",
               "crooked": "the honest balancer loses answers",
-              "repeats-all": "the decisions send again whatever failed, binding operations too",
+              "repeats-all": "the decisions send again whatever failed, unsafe operations too",
               "lost-never-ran": "the decisions take an answer that is lost for work that never ran",
-              "window-forgotten": "the decisions repeat a fingerprinted operation after its window",
-              "group-forgotten": "the decisions repeat a fingerprinted operation outside of its group",
+              "window-forgotten": "the decisions repeat a keyed operation after its window",
+              "group-forgotten": "the decisions repeat a keyed operation outside of its group",
               "sheds-all": "the decisions shed what may have run",
               "drains-unheeded": "the decisions take an upstream that drains for ready"}
     BLIND = {"deaf": ("answered twice",), "patient": ("late",), "trusting": ("invented",)}
--- a/pepperhook/lab/proofs/control.py
+++ b/pepperhook/lab/proofs/control.py
@@ -163,7 +163,7 @@
                 applied.setdefault(int(found[1]), {}).setdefault((tier, number), at)
         refusals = {(tier, number) for tier, number, _, event, rest in rows if event == "version_refused" and "goal" in rest}
         if not isinstance(told.get("repeats sales"), tuple) or told["repeats sales"][0] != 422:
-            wrong.append(f"a version that repeats binding operations was made: {told.get('repeats sales')}")
+            wrong.append(f"a version that repeats unsafe operations was made: {told.get('repeats sales')}")
         if len(refusals) != fleet or told.get("bad") in applied:
             wrong.append(f"the bad version was refused by {len(refusals)} of {fleet}, applied by {len(applied.get(told.get('bad'), ()))}")
         held = told.get("held") or {}
--- a/pepperhook/lab/proofs/h2.py
+++ b/pepperhook/lab/proofs/h2.py
@@ -29,7 +29,7 @@
         day = self.day
         seconds = 30.0 if self.full else 8.0
         body = [replace(grade, body_bytes=3000 if grade.effect == "at_most_once" else 0) for grade in day.grades]
-        # No repeats where timing decides on them: with binding and fingerprinted ones alone what fails by name stays failed.
+        # No repeats where timing decides on them: with unsafe and keyed ones alone what fails by name stays failed.
         scripted = replace(day, seconds=seconds, load=[replace(day.load[0], rate=60.0)], max_dispatches=1, grades=body, troubles=[
             experiment.Trouble(what=what, at=0.0, for_=seconds + 5, part=1.0, size=size) for what, size in self.SCRIPTED])
 
--- a/pepperhook/model.py
+++ b/pepperhook/model.py
@@ -50,7 +50,7 @@
 UNCONNECTED, RESET, CALLED_OFF, MOOT = "unconnected", "reset", "called off", "moot"
 SPOILT = "spoilt"       # an answer came, in time, that can't be used: it has run
 NEVER_RAN = frozenset((FULL, UNCONNECTED, MOOT))
-RETRIABLE, FINGERPRINTED, BINDING = "retriable", "fingerprinted", "binding"
+SAFE, KEYED, UNSAFE = "retriable", "fingerprinted", "binding"  # the words in captures and on the stream of control
 
 
 def chance(what):
--- a/pepperhook/net/doors.py
+++ b/pepperhook/net/doors.py
@@ -77,14 +77,14 @@
         if number is None:
             raise Refused(404, "no service grade has the name that the path begins with")
         grade = self.settings["grades"][number]
-        wanted = "GET" if grade["effect"] == model.RETRIABLE else "POST"
+        wanted = "GET" if grade["effect"] == model.SAFE else "POST"
         if method != wanted:
             raise Refused(405, f"{wanted} is wanted for this service grade", Allow=wanted)
         if wanted == "GET" and sized:
             raise Refused(400, "no body is wanted with GET")
         if not 0 < len(headers.get("X-Request-ID", "")) <= MOST_ID:
             raise Refused(400, f"X-Request-ID is wanted, of at most {MOST_ID} characters")
-        if grade["effect"] == model.FINGERPRINTED and not headers.get("Idempotency-Key"):
+        if grade["effect"] == model.KEYED and not headers.get("Idempotency-Key"):
             raise Refused(400, "Idempotency-Key is wanted for this service grade")
         for header in "X-Timeout-Ms", "X-Cost":
             whole(headers, header)
--- a/pepperhook/operator/schema.py
+++ b/pepperhook/operator/schema.py
@@ -58,11 +58,11 @@
     mb: Above0 = 64.0                       # that they and the answers kept take
     waiters: Annotated[int, Meta(ge=1)] = 1000      # repeats that wait for one first
     body_kb: Annotated[int, Meta(ge=0, le=64)] = 64     # of an answer; a larger one is not kept
-    binding_s: Annotated[float, Meta(ge=0)] = 600.0     # that a key of a binding grade counts for; 0: not looked at
-    retriable_s: Annotated[float, Meta(ge=0)] = 10.0    # of a retriable one; of fingerprinted ones as the settings have it
+    binding_s: Annotated[float, Meta(ge=0)] = 600.0     # that a key of an unsafe grade counts for; 0: not looked at
+    retriable_s: Annotated[float, Meta(ge=0)] = 10.0    # of a safe one; of keyed ones as the settings have it
     window_s: dict[str, Annotated[float, Meta(ge=0)]] = {}      # by grade, where it is another
     require: list[str] = []                 # grades whose operations must have a key
-    call_off_binding: bool = False          # call off a binding dispatch that no client waits for; else it may still answer a repeat
+    call_off_binding: bool = False          # call off an unsafe dispatch that no client waits for; else it may still answer a repeat
     journal: str | None = None              # folder for what must survive this process; one process each
     peers: str | None = None                # file that names the edge balancers among which a key has one owner
 
--- a/pepperhook/policy.py
+++ b/pepperhook/policy.py
@@ -1,13 +1,13 @@
-"""Every decision of pepperhook: a host calls one Balancer for each instance (pepperhook/model.py). The ordinary
-path is Adaptive Retry Budgeting (ARB) over slices with two choices: docs/design.md. Ends go up the chain."""
+"""Every decision of pepperhook: a host calls one Balancer for each instance (pepperhook/model.py). Mostly
+Adaptive Retry Budgeting (ARB) over slices with two choices, see docs/design.md. Ends go up the chain."""
 
 from collections import deque
 from math import ceil, exp, log
 from zlib import crc32
 
 from pepperhook.model import (
-    CALLED_OFF, FINGERPRINTED, FULFILLED, FULL, GONE, MOOT, READY, RESET, RETRIABLE, SPOILT, TIMED_OUT,
-    UNCONNECTED, Clockwork, Dispatch, Level, Stage, Sums, call, chain, place)
+    CALLED_OFF, FULFILLED, FULL, GONE, KEYED, MOOT, READY, RESET, SAFE, SPOILT, TIMED_OUT, UNCONNECTED,
+    Clockwork, Dispatch, Level, Stage, Sums, call, chain, place)
 
 MS, S = 1_000_000, 1_000_000_000
 REVIEW, PAUSE, LONGEST = 200 * MS, 200 * MS, S  # between judgements; after failed asks, as news bind in 6 s
@@ -83,8 +83,8 @@
 
     def harmless(self, operation):
         grade = operation.grade
-        return grade["effect"] == RETRIABLE or not any(d.may_have_run for d in operation.dispatches) or (
-            grade["effect"] == FINGERPRINTED and grade["group"] == "all")
+        return grade["effect"] == SAFE or not any(d.may_have_run for d in operation.dispatches) or (
+            grade["effect"] == KEYED and grade["group"] == "all")
 
     def end(self, now, operation):
         if operation.over:
@@ -455,9 +455,9 @@
     def repeatable(self, now, operation, upstream=None, but=None):
         grade = operation.grade
         doubtful = [d for d in operation.dispatches if d.may_have_run and d is not but]
-        if not doubtful or grade["effect"] == RETRIABLE:
+        if not doubtful or grade["effect"] == SAFE:
             return True
-        if grade["effect"] != FINGERPRINTED or now > doubtful[0].sent + grade["window_ns"]:
+        if grade["effect"] != KEYED or now > doubtful[0].sent + grade["window_ns"]:
             return False
         return upstream is None or grade["group"] == "all" or all(
             getattr(d.upstream, grade["group"]) == getattr(upstream, grade["group"]) for d in doubtful)
--- a/pepperhook/repeats/decide.py
+++ b/pepperhook/repeats/decide.py
@@ -1,7 +1,7 @@
 """What is known of keys, as plain decisions: no I/O and no clock of their own. Times are whole nanoseconds.
 
 The terms are those of draft-ietf-httpapi-idempotency-key-header: a key, the fingerprint of what was asked with it (here
-``print``, as "fingerprinted" is already the name of an effect), the first request and its repeats. A key is in one of
+``print``, as "keyed" is already the name of an effect), the first request and its repeats. A key is in one of
 three states, or not known at all:
 
     running         its operation has no result yet; repeats wait for that
@@ -9,14 +9,14 @@
     may have run    it ended without a result, and some dispatch of it may have run: within the window nobody may try again
 
 What surely never ran leaves nothing behind: the next that comes, or the first of those waiting, is a fresh operation.
-Of retriable grades the same holds for what may have run, as running twice does no harm.
+Of safe grades the same holds for what may have run, as running twice does no harm.
 """
 
 from collections import deque
 
 from msgspec import Struct
 
-from pepperhook.model import NEVER_RAN, RETRIABLE
+from pepperhook.model import NEVER_RAN, SAFE
 
 S, MS = 10 ** 9, 10 ** 6
 RUNNING, ENDED, MAY_HAVE_RUN = "running", "ended", "may have run"
@@ -134,13 +134,13 @@
     # Room.
 
     def make_room(self, now: int, shard: Shard, size: int) -> bool:
-        """What is past its window goes first, then answers of retriable grades, the oldest first. Never what runs, what may
+        """What is past its window goes first, then answers of safe grades, the oldest first. Never what runs, what may
         have run, or what ended and must not run again."""
         if shard.fits(size):
             return True
         self.expire(now, shard)
         for grade, ended in shard.ends.items():
-            if self.grades[grade]["effect"] != RETRIABLE:
+            if self.grades[grade]["effect"] != SAFE:
                 continue
             while ended and not shard.fits(size):
                 self.evicted += 1
@@ -186,7 +186,7 @@
             return []
         if kept is not None:
             return self.fulfilled(now, entry, kept)
-        if (entry.ran or entry.out) and self.grades[entry.grade]["effect"] != RETRIABLE:
+        if (entry.ran or entry.out) and self.grades[entry.grade]["effect"] != SAFE:
             entry.state = MAY_HAVE_RUN
             rows = self.release(entry, Verdict(NOT_AGAIN))
             self.settle(now, entry)
@@ -204,7 +204,7 @@
         else:
             self.unkept += 1
         out = self.release(entry, Verdict(SAME, kept))
-        if not keep and self.grades[entry.grade]["effect"] == RETRIABLE:
+        if not keep and self.grades[entry.grade]["effect"] == SAFE:
             self.forget(entry)      # the next may run again, which is better than nothing to tell it
         else:
             self.settle(now, entry)
--- a/pepperhook/repeats/part.py
+++ b/pepperhook/repeats/part.py
@@ -1,6 +1,6 @@
 """Keys on the seam: a repeat waits for the first, or is answered from its result, before the module has seen it.
 
-What runs is recorded before its first dispatch where its effect is not retriable and a journal is kept; only then does the
+What runs is recorded before its first dispatch where its effect is not safe and a journal is kept; only then does the
 operation go on. With peers, a key has one owner among the edge balancers, and what comes to another goes there whole.
 """
 
@@ -51,14 +51,14 @@
         self.unsafe = 0
 
     def window(self, grade, name):
-        """Nanoseconds: as the operator's file has it, else as long as the upstreams of a fingerprinted grade know a key, and
+        """Nanoseconds: as the operator's file has it, else as long as the upstreams of a keyed grade know a key, and
         for others the file's default."""
         told = self.set.window_s.get(name)
         if told is not None:
             return int(told * 1e9)
-        if grade["effect"] == model.FINGERPRINTED:
+        if grade["effect"] == model.KEYED:
             return int(grade.get("window_ns") or 0)
-        return int((self.set.binding_s if grade["effect"] == model.BINDING else self.set.retriable_s) * 1e9)
+        return int((self.set.binding_s if grade["effect"] == model.UNSAFE else self.set.retriable_s) * 1e9)
 
     def hold(self):
         """Takes the journal, which only one process may have. Raises ValueError with one line."""
@@ -134,7 +134,7 @@
             return self.said(verdict)
         self.keys[operation] = scope, mark, self.grade_names[number], (
             None if operation.customer is None else self.customer_names[operation.customer])
-        if self.journal is None or operation.grade["effect"] == model.RETRIABLE:
+        if self.journal is None or operation.grade["effect"] == model.SAFE:
             return None
         return self.recorded(operation, self.node.core.loop.create_future())
 
@@ -152,7 +152,7 @@
         return said
 
     def record(self, kind, operation, kept=None, wanted=False):
-        if self.journal is None or operation.grade["effect"] == model.RETRIABLE:
+        if self.journal is None or operation.grade["effect"] == model.SAFE:
             return None
         scope, mark, grade, customer = self.keys[operation]
         at = self.node.core.now() - self.node.core.offset
@@ -192,7 +192,7 @@
         stays, unwanted = self.store.left(operation)
         self.abandon(unwanted)
         # What may have run can't run again within its window: let it end, and a repeat may have its answer.
-        return stays or (not self.set.call_off_binding and operation.grade["effect"] == model.BINDING
+        return stays or (not self.set.call_off_binding and operation.grade["effect"] == model.UNSAFE
                          and self.store.out(operation))
 
     def over(self, now, operation):
@@ -227,7 +227,7 @@
                     future.set_result(self.said(verdict))
                 continue
             self.keys[waiter] = about
-            if self.journal is not None and waiter.grade["effect"] != model.RETRIABLE:
+            if self.journal is not None and waiter.grade["effect"] != model.SAFE:
                 # The record of the one before may not be safe yet, and says nothing of this one's time.
                 self.recorded(waiter, future)
             elif not future.done():
--- a/pepperhook/repeats/peers.py
+++ b/pepperhook/repeats/peers.py
@@ -171,7 +171,7 @@
         owner = self.ownership.owner(scope)
         if owner.name == self.me:
             window = self.part.store.windows[operation.grade["number"]]
-            if operation.grade["effect"] != model.RETRIABLE and not self.ownership.may_take(now, scope, window):
+            if operation.grade["effect"] != model.SAFE and not self.ownership.may_take(now, scope, window):
                 self.counts["moving"] += 1
                 return Answer("shed", after_ns=min(10 ** 9, self.part.longest))
             return None
@@ -197,7 +197,7 @@
                 message.method, message.target, headers, message.body, left_s))
         except http.UNSENT:
             self.counts["unreachable"] += 1
-            if operation.grade["effect"] == model.RETRIABLE:
+            if operation.grade["effect"] == model.SAFE:
                 return None         # does no harm here, without its key
             return Answer("shed", after_ns=min(10 ** 9, self.part.longest))
         except (TimeoutError, *http.BROKEN):
--- a/pepperhook/settings.py
+++ b/pepperhook/settings.py
@@ -3,7 +3,7 @@
 
 from pepperhook import model
 
-EFFECTS = {"idempotent": model.RETRIABLE, "deduplicated": model.FINGERPRINTED, "at_most_once": model.BINDING}
+EFFECTS = {"idempotent": model.SAFE, "deduplicated": model.KEYED, "at_most_once": model.UNSAFE}
 GROUPS = ("all", "zone", "cell")
 HOWS = ("answers", "probe", "none")
 REPORT_WORDS = {"outstanding": "in flight", "backlog": "waiting", "utilization": "utilisation",
@@ -70,8 +70,8 @@
     expect(row.get("group", "all") in GROUPS, f"{key}.group", f"one of {', '.join(GROUPS)} is wanted")
     return {"number": at, "limit_ns": limit,
             "goal_ns": number(f"{key}.goalTimeUs", row.get("goalTimeUs", limit / 1000), 1000),
-            # An effect of no known kind is held to be binding, which is safe for all.
-            "effect": EFFECTS.get(row["effect"], model.BINDING), "group": row.get("group", "all"),
+            # An effect of no known kind is held to be unsafe, which is safe for all.
+            "effect": EFFECTS.get(row["effect"], model.UNSAFE), "group": row.get("group", "all"),
             "window_ns": number(f"{key}.keyTtlUs", row.get("keyTtlUs", 0), 1000),
             "earnings": number(f"{key}.earnings", row.get("earnings", 1.0)),
             "late_earnings": number(f"{key}.lateEarnings", row.get("lateEarnings", 0.0)),
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -116,9 +116,9 @@
 # Checks.
 
 def seen(**more):
-    return Seen(**{**dict(grades={"look": {"time_limit_ms": 500, "goal_ms": 200, "effect": model.RETRIABLE},
-                                  "sale": {"time_limit_ms": 900, "goal_ms": 400, "effect": model.BINDING},
-                                  "hold": {"time_limit_ms": 900, "goal_ms": 400, "effect": model.FINGERPRINTED}},
+    return Seen(**{**dict(grades={"look": {"time_limit_ms": 500, "goal_ms": 200, "effect": model.SAFE},
+                                  "sale": {"time_limit_ms": 900, "goal_ms": 400, "effect": model.UNSAFE},
+                                  "hold": {"time_limit_ms": 900, "goal_ms": 400, "effect": model.KEYED}},
                           customers=frozenset(["acme"]), parts=frozenset(["customers"]), upstreams={"a": 3.0, "b": 3.0, "c": 6.0}, out=5.0,
                           usual={"look": 120.0}), **more})
 
@@ -151,7 +151,7 @@
     assert [one.check for one in decide.of_balancer(told_, seen(parts=frozenset()))] == ["part"]
 
 
-def test_the_service_refuses_leaps_repeats_of_binding_grades_and_draining_all():
+def test_the_service_refuses_leaps_repeats_of_unsafe_grades_and_draining_all():
     before = doc(grades={"look": {"earnings": 1.0}, "sale": {"effect": "at_most_once"}})
     for after, check in ((doc(grades={"look": {"earnings": 1.6}, "sale": {"effect": "at_most_once"}}), "step"),
                          (doc(grades={"look": {"earnings": 1.0}, "sale": {"effect": "idempotent"}}), "effect"),
@@ -173,13 +173,13 @@
 
 
 def test_settings_are_those_of_the_start_but_for_what_a_document_says():
-    start = settings(grades=[grade(0), grade(1, model.BINDING)])
+    start = settings(grades=[grade(0), grade(1, model.UNSAFE)])
     names = {"grades": {"look": 0, "sale": 1}, "customers": {"acme": 0}}
     told_ = decoded(doc(grades={"look": {"time_limit_ms": 700, "effect": "at_most_once"}}, customers={"acme": {"quota_per_s": 9.0}},
                         limits={"most_dispatches": 5}))
     made = decide.settings_with(told_, start, names)
-    assert made["grades"][0]["limit_ns"] == made["grades"][0]["goal_ns"] == 700 * MS and made["grades"][0]["effect"] == model.BINDING
-    assert made["grades"][1] is start["grades"][1] and start["grades"][0]["effect"] == model.RETRIABLE
+    assert made["grades"][0]["limit_ns"] == made["grades"][0]["goal_ns"] == 700 * MS and made["grades"][0]["effect"] == model.UNSAFE
+    assert made["grades"][1] is start["grades"][1] and start["grades"][0]["effect"] == model.SAFE
     assert made["customers"][0]["quota"] == 9.0 and made["most_dispatches"] == 5 and start["customers"][0]["quota"] == 40.0
     assert decide.settings_with(Document(version=1), start, names) == start
 
@@ -194,7 +194,7 @@
         world.run(40, chance=0.4)
         under_way = [operation for operation in world.taken if operation not in world.answered]
         kept += [(operation, operation.grade, dict(operation.grade)) for operation in under_way]
-        effects = [model.RETRIABLE, model.FINGERPRINTED, model.BINDING]
+        effects = [model.SAFE, model.KEYED, model.UNSAFE]
         grades = [dict(row, effect=chance.choice(effects), group="cell", limit_ns=chance.randrange(S, 3 * S), window_ns=chance.randrange(S),
                        earnings=chance.random()) for row in start["grades"]]
         world.play(world.balancer.retold(world.now, {**start, "grades": grades, "balancers": chance.randrange(1, 6), "me": 0}, [
@@ -497,7 +497,7 @@
                 await until(lambda: it.number == 1)
                 await until(lambda: served.control.members.rows["n"].running == 1)
                 module = node.core.module
-                assert module.settings["grades"][0]["limit_ns"] == 1500 * MS and module.settings["grades"][2]["effect"] == model.BINDING
+                assert module.settings["grades"][0]["limit_ns"] == 1500 * MS and module.settings["grades"][2]["effect"] == model.UNSAFE
                 assert [u.address for u in module.pick.ring] == [b"h0"] and module.pick.ring[0].told == 2.0
                 assert (await balancer.ask())[0] == 200
                 release.set()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -127,7 +127,7 @@
         writer.close()
 
 
-def crossing(effect=model.FINGERPRINTED, group="all", window=S, first=model.RESET):
+def crossing(effect=model.KEYED, group="all", window=S, first=model.RESET):
     """A module and a dispatch just chosen, behind one that may have run."""
     now = 9 * S
     balancer = policy.Balancer(settings(grades=[grade(0, effect, group=group, window_ns=window)], asks=True,
@@ -181,9 +181,9 @@
     balancer, operation, dispatch, now = crossing(window=9 * S)
     assert balancer.goes(now + 2 * S - 1, dispatch) and not balancer.goes(now + 2 * S, dispatch)      # its deadline
     assert not crossing(group="cell")[0].goes(now, crossing(group="cell")[2])      # not where its key holds
-    balancer, operation, dispatch, now = crossing(effect=model.BINDING)
+    balancer, operation, dispatch, now = crossing(effect=model.UNSAFE)
     assert not balancer.goes(now, dispatch)
-    balancer, operation, dispatch, now = crossing(effect=model.BINDING, first=model.FULL)
+    balancer, operation, dispatch, now = crossing(effect=model.UNSAFE, first=model.FULL)
     assert balancer.goes(now, dispatch)
 
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize("number, more, at_goal, at_limit", [
-    (0, {}, "shed", "shed"), (1, {}, None, "broken off"),       # binding: it may have run, and can't be shed
+    (0, {}, "shed", "shed"), (1, {}, None, "broken off"),       # unsafe: it may have run, and can't be shed
     (0, {"may_call_off": False}, None, "shed"), (0, {"grades": [grade(0, late_earnings=0.5)]}, None, "shed")])
 def test_what_can_earn_no_more_is_given_up_at_its_goal_time_if_that_does_no_harm(number, more, at_goal, at_limit):
     # Against answers after the goal time, worth nothing, keeping upstream and client to the time limit.
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -142,7 +142,7 @@
         assert await balancer.ask("/pay", b"POST", b"1") == (200, b"known")
         spy.at_once, spy.moot = None, True
         status, _ = await balancer.ask("/pay", b"POST", b"1", X_Timeout_Ms="300")
-    # What was never written never ran, so even a binding operation is shed.
+    # What was never written never ran, so even an unsafe operation is shed.
     assert status == 503 and not peer.seen and "ended moot" in spy.seen
 
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -32,7 +32,7 @@
 from tests.world import ENV, Peer, Running, answer, grade, loopback, told
 
 S = 10 ** 9
-GRADES = [grade(0), grade(1, model.BINDING), grade(2, model.FINGERPRINTED)]
+GRADES = [grade(0), grade(1, model.UNSAFE), grade(2, model.KEYED)]
 LOOK, PAY, HOLD = 0, 1, 2
 DONE = Kept(b"done", None)
 
@@ -72,7 +72,7 @@
 
 @pytest.mark.parametrize("number, ends", [(PAY, NOT_AGAIN), (HOLD, NOT_AGAIN), (LOOK, FRESH)])
 @pytest.mark.parametrize("outcome", [model.RESET, model.TIMED_OUT, model.ERROR, model.SPOILT, model.CALLED_OFF, None])
-def test_what_may_have_run_is_not_run_again_in_its_window_but_for_retriable_grades(number, ends, outcome):
+def test_what_may_have_run_is_not_run_again_in_its_window_but_for_safe_grades(number, ends, outcome):
     it = store()
     assert [arrive(it, b"k", who, number) for who in "ab"] == [FRESH, WAIT]
     it.began("a", "d1")
@@ -114,7 +114,7 @@
         assert arrive(it, key, (number, "c"), number, now=2) == later
 
 
-def test_when_full_what_is_over_goes_first_then_retriable_answers_and_nothing_that_must_not_run_again():
+def test_when_full_what_is_over_goes_first_then_safe_answers_and_nothing_that_must_not_run_again():
     it = store(entries=4)
     for at, number in enumerate((LOOK, PAY, HOLD, LOOK)):
         assert arrive(it, b"k%d" % at, at, number, now=at) == FRESH
@@ -188,7 +188,7 @@
 # Every order of what may happen to one key: a first, two repeats, one crash, one other key that wants its place.
 
 class One:
-    """A binding key in a store with room for one, as the part drives it: recorded, then dispatched, then answered."""
+    """An unsafe key in a store with room for one, as the part drives it: recorded, then dispatched, then answered."""
 
     STORE = Store
 
@@ -665,7 +665,7 @@
 
 @pytest.mark.parametrize("path, called_off", [("/hold", True), ("/pay", False)])
 @loopback
-async def test_the_last_ones_leaving_calls_it_off_but_what_is_binding_may_still_answer_a_repeat(path, called_off):
+async def test_the_last_ones_leaving_calls_it_off_but_what_is_unsafe_may_still_answer_a_repeat(path, called_off):
     script, it = Slowly(), part()
     async with Peer(script) as peer, running(peer, it) as balancer:
         _, writer = await balancer.send(path, b"POST", b"1", Idempotency_Key="k")
@@ -768,7 +768,7 @@
 
 
 @loopback
-async def test_binding_operations_are_shed_while_their_record_cant_be_written():
+async def test_unsafe_operations_are_shed_while_their_record_cant_be_written():
     with tempfile.TemporaryDirectory() as folder:
         it, full = part(journal=folder), [True]
 
@@ -778,7 +778,7 @@
         it.journal.sync = sync
         async with Peer(lambda *_: answer()) as peer, running(peer, it) as balancer:
             assert (await pay(balancer, "a"))[0] == 503 and not peer.seen
-            assert (await balancer.ask(Idempotency_Key="l"))[0] == 200, "retriable ones need no record"
+            assert (await balancer.ask(Idempotency_Key="l"))[0] == 200, "safe ones need no record"
             full[0] = False
             for _ in range(100):
                 if (await pay(balancer, "a"))[0] == 200:
@@ -866,7 +866,7 @@
 
 
 @edges
-async def test_with_its_owner_gone_a_binding_operation_is_shed_and_a_retriable_one_served(them, script):
+async def test_with_its_owner_gone_an_unsafe_operation_is_shed_and_a_safe_one_served(them, script):
     (one, _), (two, yours) = them.one("e0"), them.one("e1")
     async with two as b:
         key = them.key("e0")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -82,12 +82,12 @@
         world = World(seed, balancers=1)
         world.fate = lambda dispatch: lost if world.random.random() < 0.1 else model.FULFILLED
         world.run(6000, chance=0.1)
-        ends = [world.answered.get(o) for o in world.taken if o.grade["effect"] == model.RETRIABLE]
+        ends = [world.answered.get(o) for o in world.taken if o.grade["effect"] == model.SAFE]
         asked, got = asked + len(ends), got + ends.count("fulfilled")
         assert world.balancer.budget.f < policy.LOW_F
         assert 0 < sum(1 for _, d in world.sends if d.number) < policy.B0 * len(world.taken)
         assert not any(
-            d.number for _, d in world.sends if d.operation.grade["effect"] == model.BINDING)
+            d.number for _, d in world.sends if d.operation.grade["effect"] == model.UNSAFE)
     assert got > 0.95 * asked, "with nine in ten at the first try, and one repeat in five, it was 0.90"
 
 
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize("change, must, mustnt", [
     ({"most_dispatches": 1}, ["not again"], ["another upstream", "another slice"]),
     ({"grades": [grade(n, effect, goal_ns=0) for n, effect in enumerate(
-        (model.RETRIABLE, model.BINDING, model.FINGERPRINTED))]}, ["shed"], ["sent"]),
+        (model.SAFE, model.UNSAFE, model.KEYED))]}, ["shed"], ["sent"]),
     ({"balancers": 8, "me": 5}, ["another slice"], []),
     ({"reports": "probe", "report_fields": ["in flight"]}, ["asked", "held"], ["another slice"]),
     ({"tail": 0.3}, ["another time"], ["another slice", "another upstream"])])
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -30,7 +30,7 @@
     assert (told.seed, told.sockets, told.known) == (255, 100, None)
     assert told.settings["asks"] and told.settings["connect_limit_ns"] == 500 * 10 ** 6
     grades = told.settings["grades"]
-    assert [g["effect"] for g in grades] == [model.RETRIABLE, model.BINDING, model.FINGERPRINTED]
+    assert [g["effect"] for g in grades] == [model.SAFE, model.UNSAFE, model.KEYED]
     assert grades[0]["goal_ns"] == grades[0]["limit_ns"] == 2 * 10 ** 9 and grades[0]["earnings"] == 1.0
     assert told.names == {"grades": {"look": 0, "pay": 1, "hold": 2}, "customers": {"acme": 0}, "zones": {"z": 0},
                           "kinds": {"m": 0}}
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,15 +19,15 @@
 FATES = [model.FULFILLED] * 30 + [model.ERROR, model.FULL, model.UNCONNECTED, model.RESET, model.TIMED_OUT]
 
 
-def grade(number, effect=model.RETRIABLE, **more):
+def grade(number, effect=model.SAFE, **more):
     return {"number": number, "limit_ns": 2 * S, "goal_ns": S, "effect": effect, "group": "all",
             "window_ns": S, "earnings": 1.0, "late_earnings": 0.0, "stream": False, **more}
 
 
 def settings(**more):
     return {"me": 0, "balancers": 2, "tier": 0, "zone": 0, "customers": [{"quota": 40.0, "share": 1.0}],
-            "grades": [grade(0), grade(1, model.BINDING),
-                       grade(2, model.FINGERPRINTED, group="cell", window_ns=S // 2)],
+            "grades": [grade(0), grade(1, model.UNSAFE),
+                       grade(2, model.KEYED, group="cell", window_ns=S // 2)],
             "tick_ns": MS, "may_call_off": True, "may_probe": True, "most_dispatches": 3, "drain_grace_ns": S,
             "fall_multiple": 2.5, "fall_ns": S, "start_capacity": 0.2, "warm_within_ns": 10 * S, **more}
 
@@ -77,8 +77,8 @@
         assert len(operation.dispatches) <= self.settings["most_dispatches"]
         assert self.settings.get("may_overlap") or all(d.outcome for d in earlier)
         effect = operation.grade["effect"]
-        assert not (maybe and effect == model.BINDING)
-        if maybe and effect == model.FINGERPRINTED:
+        assert not (maybe and effect == model.UNSAFE)
+        if maybe and effect == model.KEYED:
             assert self.now <= maybe[0].sent + operation.grade["window_ns"]
             assert all(d.upstream.cell == upstream.cell for d in maybe)
         self.sends.append((self.now, dispatch))
@@ -98,7 +98,7 @@
 
     def do_shed(self, operation, after_ns):
         maybe = any(d.outcome not in model.NEVER_RAN for d in operation.dispatches)
-        assert operation.grade["effect"] == model.RETRIABLE or not maybe
+        assert operation.grade["effect"] == model.SAFE or not maybe
         assert self.settings.get("may_advise") or after_ns == 0
         self.final(operation, "shed")
 
