HTTP/2: a stream reset, and a drain, while a connection comes up are forced by tests

Seen failing: the drain with the last word taken out of h2's Way.ask, the reset with withdrawing and the last word taken out of HTTP/1.1's way.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,7 +11,10 @@
 
 from pepperhook import model, policy
 from pepperhook.net import clients, discovery, http
+from pepperhook.net.parts import Parts
 from pepperhook.net.upstreams import Message
+from pepperhook.operator.schema import H2
+from tests.h2peers import Client, Peer2
 from tests.test_net import json_hosts
 from tests.test_start import free_port, start, write
 from tests.world import ENV, MS, S, Peer, Running, World, answer, grade, header, hosts, loopback, read_message, settings, told
@@ -681,3 +684,40 @@
         catalog.server.close()
         for writer in list(catalog.writers):
             writer.close()
+
+
+@loopback
+async def test_a_stream_reset_while_its_connection_comes_up_is_never_written():
+    async with Peer(lambda *_: answer()) as peer, Running([peer.dial], parts=Parts(h2=H2())) as balancer, Client(balancer.port) as client:
+        node, held = balancer.node, Held(balancer)
+        number = client.ask("/pay", "POST", b"1")
+        await held.wanted.wait()
+        [operation] = node.core.inboxes
+        client.h2.reset_stream(number, 8)
+        client.flush()
+        while not operation.over:
+            await asyncio.sleep(0.001)
+        held.released.set()
+        while node.operations.tasks:
+            await asyncio.sleep(0.01)
+        assert await client.answer(client.ask()) == (200, b"done") and len(peer.seen) == 1
+
+
+@loopback
+async def test_one_told_to_leave_while_its_http2_connection_comes_up_gets_no_stream():
+    async with Peer2() as peer, Running([peer.dial], parts=Parts(h2=H2(upstreams="h2"))) as balancer:
+        node = balancer.node
+        [line] = node.upstreams.lines.values()
+        wire, wanted, released = line.way.wire, asyncio.Event(), asyncio.Event()
+
+        async def late(ends):
+            found = await wire(ends)
+            wanted.set()
+            await released.wait()
+            return found
+        line.way.wire = late
+        asked = asyncio.ensure_future(balancer.ask("/pay", b"POST", b"1", X_Timeout_Ms="1000"))
+        await wanted.wait()
+        node.discovery.take({"seq": 2, "whole": False, "hosts": rows(balancer, h0="draining")})
+        released.set()
+        assert (await asked)[0] == 503 and not peer.seen and node.counters["dispatches moot"] == 1
