--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,124 @@
+"""Reads KNOWN-RED.txt, the list of tests that fail for a fault that is still open.
+
+Entries are separated by an empty line; each has one line for every field:
+
+    test: tests/server/test_x.py::test_y        a pytest test; all its cases, or one: test_y[case]
+    test: scenario NAME                         an acceptance scenario
+    test: soak SEED                             a day of ``pepperhook lab soak``
+    command: what plays it, with its seed
+    seen: what was seen
+    issue: the number of the open issue
+
+``python -m tests.known_red scenario NAME`` prints the entry of a scenario; exit code 0: listed,
+1: not listed, 2: the list is malformed.
+"""
+
+import ast
+import re
+import sys
+from dataclasses import dataclass, fields
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[1]
+PATH = ROOT / "KNOWN-RED.txt"
+SCENARIO = "scenario "
+SOAK = "soak "
+PYTEST_ID = re.compile(r"(?P<file>tests/[\w/]+\.py)::(?P<name>\w+)(?P<case>\[.+\])?")
+
+
+class MalformedEntryError(ValueError):
+    """An entry that lacks a field, or names a test that does not exist; the text is one line."""
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One known failure."""
+
+    test: str
+    command: str
+    seen: str
+    issue: str
+
+    def __str__(self) -> str:
+        return f"{self.test}: {self.seen} (issue {self.issue}; {self.command})"
+
+    def covers(self, node_id: str) -> bool:
+        """Whether this entry lists a pytest test, by its id."""
+        return node_id == self.test or node_id.partition("[")[0] == self.test
+
+
+FIELDS = tuple(field.name for field in fields(Entry))
+
+
+def parse(text: str) -> list[Entry]:
+    """Return the entries. Raises MalformedEntryError."""
+    blocks = re.split(r"\n(?:[ \t]*\n)+", text.strip("\n")) if text.strip() else []
+    entries = [_parse_block(block) for block in blocks]
+    for entry in entries:
+        if [other.test for other in entries].count(entry.test) > 1:
+            raise MalformedEntryError(f"{entry.test}: listed twice")
+    return entries
+
+
+def _parse_block(block: str) -> Entry:
+    values = {}
+    for line in block.splitlines():
+        name, separator, value = line.partition(": ")
+        if not separator or name not in FIELDS or name in values or not value.strip():
+            raise MalformedEntryError(f"KNOWN-RED.txt: not one of {', '.join(FIELDS)}: {line!r}")
+        values[name] = value.strip()
+    missing = [name for name in FIELDS if name not in values]
+    if missing:
+        raise MalformedEntryError(f"KNOWN-RED.txt: {missing[0]} is missing in: {block!r:.80}")
+    if not values["issue"].isdecimal():
+        raise MalformedEntryError(f"KNOWN-RED.txt: issue: a number is wanted: {values['issue']}")
+    return Entry(**values)
+
+
+def check(entry: Entry, scenarios: tuple[str, ...], root: Path = ROOT) -> None:
+    """Raise MalformedEntryError unless the entry names something that exists."""
+    if entry.test.startswith(SCENARIO):
+        exists = entry.test.removeprefix(SCENARIO) in scenarios
+    elif entry.test.startswith(SOAK):
+        exists = entry.test.removeprefix(SOAK).isdecimal()
+    else:
+        match = PYTEST_ID.fullmatch(entry.test)
+        exists = match is not None and match["name"] in _functions(root / match["file"])
+    if not exists:
+        raise MalformedEntryError(f"KNOWN-RED.txt: no such test: {entry.test}")
+
+
+def _functions(path: Path) -> set[str]:
+    """Return the names of the functions at the top of a file; none where there is no such file."""
+    if not path.is_file():
+        return set()
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    kinds = (ast.FunctionDef, ast.AsyncFunctionDef)
+    return {node.name for node in tree.body if isinstance(node, kinds)}
+
+
+def load(path: Path = PATH) -> list[Entry]:
+    """Read the list and check every entry. Raises MalformedEntryError."""
+    from pepperhook.lab.proofs import PROOFS
+
+    entries = parse(path.read_text(encoding="utf-8"))
+    for entry in entries:
+        check(entry, tuple(PROOFS))
+    return entries
+
+
+def main(arguments: list[str]) -> int:
+    """Print the entry of the test that the arguments name."""
+    try:
+        entries = load()
+    except MalformedEntryError as error:
+        print(error, file=sys.stderr)
+        return 2
+    listed = [entry for entry in entries if entry.test == " ".join(arguments)]
+    for entry in listed:
+        print(f"known red: {entry}")
+    return 0 if listed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,121 @@
+"""KNOWN-RED.txt is read strictly, and excuses the tests that it lists and no others."""
+
+import pytest
+
+from tests import known_red
+
+ENTRY = """test: {test}
+command: pytest tests/test_one.py
+seen: it was wrong
+issue: 46
+"""
+pytest_plugins = ("pytester",)
+FAILING = "def test_wrong():\n    assert False\n\ndef test_right():\n    pass\n"
+
+
+def entry_for(test):
+    return known_red.parse(ENTRY.format(test=test))[0]
+
+
+def test_entries_are_read_with_all_their_fields():
+    text = ENTRY.format(test="scenario h2") + "\n\n" + ENTRY.format(test="soak 7")
+
+    first, second = known_red.parse(text)
+
+    assert (first.test, first.issue, second.test) == ("scenario h2", "46", "soak 7")
+    assert known_red.parse("") == known_red.parse("\n") == []
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "scenario h2: it was wrong; issue 43\n",
+        ENTRY.format(test="scenario h2").replace("seen: it was wrong\n", ""),
+        ENTRY.format(test="scenario h2").replace("issue: 46", "issue: soon"),
+        ENTRY.format(test="scenario h2").replace("seen: it was wrong", "seen:  "),
+        ENTRY.format(test="scenario h2") + "seen: something else\n",
+        ENTRY.format(test="scenario h2") + "\n" + ENTRY.format(test="scenario h2"),
+    ],
+)
+def test_malformed_lists_are_refused(text):
+    with pytest.raises(known_red.MalformedEntryError):
+        known_red.parse(text)
+
+
+@pytest.mark.parametrize(
+    "test, exists",
+    [
+        ("scenario h2", True),
+        ("scenario h3", False),
+        ("soak 12", True),
+        ("soak twelve", False),
+        ("tests/test_known_red.py::test_entries_are_read_with_all_their_fields", True),
+        ("tests/test_known_red.py::test_that_is_not_here", False),
+        ("tests/test_not_here.py::test_one", False),
+        ("tests/test_known_red.py", False),
+    ],
+)
+def test_an_entry_must_name_a_test_that_exists(test, exists):
+    if exists:
+        known_red.check(entry_for(test), ("h2",))
+        return
+    with pytest.raises(known_red.MalformedEntryError, match="no such test"):
+        known_red.check(entry_for(test), ("h2",))
+
+
+def test_an_entry_covers_all_cases_of_its_test_or_the_one_it_names():
+    whole, one = entry_for("tests/test_one.py::test_a"), entry_for("tests/test_one.py::test_a[x]")
+
+    assert whole.covers("tests/test_one.py::test_a[y]")
+    assert one.covers("tests/test_one.py::test_a[x]")
+    assert not one.covers("tests/test_one.py::test_a[y]")
+    assert not whole.covers("tests/test_one.py::test_ab")
+
+
+def test_the_list_of_this_repository_is_well_formed():
+    known_red.load()
+
+
+@pytest.fixture
+def run_listed(pytester, monkeypatch):
+    """Run a file with one failing and one passing test, under a list that names a given test."""
+
+    def run(*listed):
+        entries = "\n".join(ENTRY.format(test=test) for test in listed)
+        (pytester.mkdir("tests") / "test_one.py").write_text(FAILING)
+        path = pytester.path / "KNOWN-RED.txt"
+        path.write_text(entries)
+        monkeypatch.setattr(known_red, "PATH", path)
+        plain_load, plain_check = known_red.load, known_red.check
+        monkeypatch.setattr(known_red, "load", lambda: plain_load(path))
+        monkeypatch.setattr(
+            known_red, "check", lambda one, names: plain_check(one, names, pytester.path)
+        )
+        return pytester.runpytest_inprocess("-p", "tests.conftest", "tests/test_one.py")
+
+    return run
+
+
+def test_a_listed_failure_is_passed_over_and_printed(run_listed):
+    result = run_listed("tests/test_one.py::test_wrong")
+
+    result.assert_outcomes(passed=1, xfailed=1)
+    assert result.ret == 0
+    result.stdout.fnmatch_lines(["fails as listed: tests/test_one.py::test_wrong*it was wrong*"])
+
+
+def test_a_failure_that_is_not_listed_fails_and_a_listed_success_is_printed(run_listed):
+    result = run_listed("tests/test_one.py::test_right")
+
+    result.assert_outcomes(passed=1, failed=1)
+    assert result.ret == 1
+    result.stdout.fnmatch_lines(["passes though listed: tests/test_one.py::test_right"])
+
+
+@pytest.mark.parametrize(
+    "test", ["tests/test_one.py::test_gone", "tests/test_one.py::test_wrong[one]"]
+)
+def test_a_list_that_names_no_test_ends_the_run(run_listed, test):
+    result = run_listed(test)
+
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
