One odd row in the endpoint list no longer ends the watch for good

Cause: decoding raised TypeError or OverflowError, which ended the task that polls; nobody learnt of that end, so the policy took the watch for open and the list for fresh.

Decoding goes by typed rows and gives a list or MalformedListError. Whoever owns the polls reports every end of one to the policy, whatever ended it, logs background_fault and counts it.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Coroutine
 from enum import Enum
 from functools import partial
@@ -121,8 +120,17 @@
         task.add_done_callback(partial(self._poll_ended, kind))
 
     def _poll_ended(self, kind: PollKind, task: asyncio.Task[None]) -> None:
-        if self.tasks.get(kind) is task:
-            del self.tasks[kind]
+        """Report every end to the policy that it was not told of yet.
+
+        Else it would take the watch for open, and the list for fresh, for good.
+        """
+        if self.tasks.get(kind) is not task:
+            return  # replaced after a move, or closed
+        del self.tasks[kind]
+        error = asyncio.CancelledError() if task.cancelled() else task.exception()
+        if error is not None and not self.is_closed:
+            self.runtime.report_fault(f"endpoint {kind.value}", error)
+            self._poll_failed(error)
 
     async def _watch(self) -> None:
         """Poll again at once after each response, as a gap would begin a new watch."""
@@ -151,8 +159,8 @@
         held = self._confirm_when_held() if query else None
         try:
             body = await http1_client.retry_stale_connections(lambda: self._request(query))
-            self.apply(json.loads(body))
-        except (PepperhookError, OSError, ValueError, RecursionError) as error:
+            self._apply(endpoint_list.parse(body, self.zones, self.kinds))
+        except (PepperhookError, OSError) as error:
             self._poll_failed(error)
             return False
         finally:
@@ -167,7 +175,7 @@
     def _confirm(self, age_ns: int = 0) -> None:
         self.runtime.call_policy(self.runtime.policy.endpoints_confirmed, age_ns)
 
-    def _poll_failed(self, error: Exception) -> None:
+    def _poll_failed(self, error: BaseException) -> None:
         self.counters.add("list failed")
         self.log.warning("list_failed", error=f"{type(error).__name__}: {error}")
         retry_after_ns = error.retry_after_ns if isinstance(error, ListRefusedError) else 0
@@ -187,7 +195,9 @@
 
     def apply(self, document: object) -> None:
         """Apply one list or one set of changes, or nothing of it. Raises MalformedListError."""
-        update = endpoint_list.decode(document, self.zones, self.kinds)
+        self._apply(endpoint_list.decode(document, self.zones, self.kinds))
+
+    def _apply(self, update: EndpointList) -> None:
         if not update.is_whole and self.version is not None and update.version < self.version:
             # Against changes of a list that began anew, laid over one that knew more: the whole of
             # it is wanted.
@@ -199,6 +209,7 @@
             return
         self._report(update)
         self.version = update.version
+        self._log_update(update)
         self._forget_gone()
         for hook in self.extensions.listed:
             hook(self.runtime.now(), self.known.values())
@@ -206,6 +217,11 @@
             self.log.info("list_known", version=self.version, upstreams=len(self.known))
         self.ready = True
 
+    def _log_update(self, update: EndpointList) -> None:
+        """Log what a list changed, so that a late notification shows in the log."""
+        rows = " ".join(f"{listed.name}:{listed.state}" for listed in update.endpoints)
+        self.log.debug("list_applied", version=update.version, whole=update.is_whole, rows=rows)
+
     def _report(self, update: EndpointList) -> None:
         rows = [self._update_upstream(listed) for listed in update.endpoints]
         for hook in self.extensions.lists:
@@ -259,7 +275,7 @@
     return int(min(max(seconds, 0.0), MAX_RETRY_AFTER_S) * NS_PER_S)
 
 
-def _failure(error: Exception) -> PollFailure:
+def _failure(error: BaseException) -> PollFailure:
     """Return how a poll failed, for the policy."""
     if isinstance(error, TimeoutError):
         return PollFailure.SILENT
--- a/pepperhook/server/runtime.py
+++ b/pepperhook/server/runtime.py
@@ -8,6 +8,8 @@
 from pepperhook import actions
 from pepperhook.domain import Attempt, LoadReport, Outcome, Request, Upstream
 from pepperhook.server.lifecycle_events import Inbox
+from pepperhook.server.structured_logging import exception_fields
+from pepperhook.server.supervision import Supervisor
 
 if TYPE_CHECKING:
     from pepperhook.server.endpoint_discovery import EndpointDiscovery
@@ -18,6 +20,7 @@
 HEARTBEAT_S = 0.025  # between measurements of how late the event loop is
 LATENESS_HALF_LIFE_NS = 500 * 10**6
 NS_PER_S = 1e9
+NS_PER_MS = 10**6
 
 
 class Runtime:
@@ -36,6 +39,7 @@
         # One clock for all: never set back, and set to Unix time once, in which the endpoint list
         # gives the start times of upstreams.
         self.offset = time.time_ns() - time.monotonic_ns()
+        self.supervisor = Supervisor(self.report_fault)
         self.inboxes: dict[Request, Inbox] = {}  # of the requests in flight
         self.worst_lateness = (0, 0)  # in nanoseconds, and when it was measured
         self._wake_timer: asyncio.TimerHandle | None = None
@@ -46,6 +50,11 @@
         """Return the time in nanoseconds."""
         return time.monotonic_ns() + self.offset
 
+    def report_fault(self, task: str, error: BaseException) -> None:
+        """Log and count that background work ended by an error that nobody foresaw."""
+        self.counters.add("background faults")
+        self.log.error("background_fault", task=task, **exception_fields(error))
+
     def start(self, policy: Any, upstreams: "UpstreamPool", discovery: "EndpointDiscovery") -> None:
         """Begin to drive the policy."""
         self.policy = policy
@@ -59,10 +68,11 @@
 
     def _heartbeat(self, previous: int) -> None:
         now = self.now()
+        self._schedule_heartbeat(now)
         lateness = max(0, now - previous - int(HEARTBEAT_S * NS_PER_S))
         if lateness > self.lateness_ns():
             self.worst_lateness = (lateness, now)
-        self._schedule_heartbeat(now)
+            self.log.debug("event_loop_late", ms=lateness // NS_PER_MS)
 
     def lateness_ns(self) -> int:
         """Return how late the event loop has lately been: the worst case, decaying."""
--- a/pepperhook/server/structured_logging.py
+++ b/pepperhook/server/structured_logging.py
@@ -30,11 +30,12 @@
             **getattr(record, "pairs", {}),
         }
         if record.exc_info and record.exc_info[1] is not None:
-            fields.update(_exception_fields(record.exc_info[1]))
+            fields.update(exception_fields(record.exc_info[1]))
         return " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
 
 
-def _exception_fields(error: BaseException) -> dict[str, object]:
+def exception_fields(error: BaseException) -> dict[str, object]:
+    """Return the fields for an error: what it is, and where it was raised."""
     fields: dict[str, object] = {"error": f"{type(error).__name__}: {error}"}
     where = error.__traceback__
     while where is not None and where.tb_next is not None:
--- a/pepperhook/server/upstream_pool.py
+++ b/pepperhook/server/upstream_pool.py
@@ -212,6 +212,12 @@
         may_send = self.runtime.may_send(attempt)
         if may_send:
             self.written.add(attempt)
+        self.log.debug(
+            "last_check",
+            id=attempt.request.id,
+            upstream=attempt.upstream.address,
+            may_send=may_send,
+        )
         return may_send
 
     def _attempt_ended(
