A malformed HTTP/2 head or trailers end their stream alone

Callers: one malformed response head of an upstream had all other requests on its connection answered 500; one malformed request ended all others of its client.

Cause: the library takes any such header block for an error of the connection, where RFC 9113, 8.1.1, has an error of the stream.

--- a/pepperhook/http2/client_connection.py
+++ b/pepperhook/http2/client_connection.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any, cast
@@ -164,10 +165,13 @@
         headers: CIMultiDict[str] = CIMultiDict()
         for name, value in cast("list[tuple[str, str]]", event.headers):
             if name == ":status":
-                exchange.status = int(value) if value.isdecimal() else 0
+                exchange.status = _parse_status(value)
             elif not name.startswith(":"):
                 headers.add(name, value)
         exchange.headers = headers
+        if exchange.status is None:
+            self._reject_response(exchange, "no status")
+            return
         length = headers.get("Content-Length")
         if length is not None and length.isdecimal():
             exchange.content_length = int(length)
@@ -361,6 +365,11 @@
         self._watch_liveness()
 
 
+def _parse_status(value: str) -> int | None:
+    """Return a status of three digits (RFC 9110, 15); None where it is none."""
+    return int(value) if re.fullmatch("[0-9]{3}", value) else None
+
+
 EVENT_HANDLERS: dict[type[h2.events.Event], Callable[[ClientConnection, Any], None]] = {
     h2.events.ResponseReceived: ClientConnection._on_response,
     h2.events.InformationalResponseReceived: ClientConnection._on_informational_response,
--- a/pepperhook/http2/connection.py
+++ b/pepperhook/http2/connection.py
@@ -1,27 +1,26 @@
-"""The h2 library's connection, changed in four ways, each by its section of RFC 9113.
+"""The h2 library's connection, changed in five ways, each by its section of RFC 9113.
 
 * A GOAWAY ends no streams that its sender still answers (6.8).
 * A frame that is too large is refused by its header (4.2).
 * A header block that cannot be decoded has an error code of its own (4.3).
 * A wrong content length is an error of its stream alone (8.1.1).
+* So is a malformed head, of a request or a response, or malformed trailers (8.1.1).
 """
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import h2.connection
 import h2.errors
 import h2.events
 import h2.exceptions
 import hpack
+from h2.stream import H2Stream
 from hpack.struct import Header, HeaderTuple
-from hyperframe.frame import Frame, GoAwayFrame, RstStreamFrame
+from hyperframe.frame import Frame, GoAwayFrame, HeadersFrame, RstStreamFrame
 
 from pepperhook.errors import PepperhookError
 
-if TYPE_CHECKING:
-    from h2.stream import H2Stream
-
 LENGTH_FIELD_BYTES = 3  # at the beginning of each frame's header
 
 
@@ -44,6 +43,30 @@
             raise HeaderBlockError(f"Error decoding header block: {error}") from error
 
 
+class MalformedHeadError(PepperhookError):
+    """A header block that was decoded, but is no head and no trailers of a message."""
+
+
+class Http2Stream(H2Stream):
+    """The state of one stream; overrides private methods by the names of the pinned version."""
+
+    def _initialize_content_length(self, headers: Iterable[Header]) -> None:
+        # Against one response of a wrong length ending all others on its connection, as the library
+        # has it. Server and client check lengths themselves.
+        pass
+
+    def receive_headers(
+        self, headers: Iterable[Header], end_stream: bool, header_encoding: bool | str | None
+    ) -> tuple[list[Frame], list[h2.events.Event]]:
+        """Take a head or trailers. Raises MalformedHeadError, or what the library raises."""
+        try:
+            return super().receive_headers(headers, end_stream, header_encoding)
+        except (h2.exceptions.StreamClosedError, h2.exceptions.StreamIDTooLowError):
+            raise
+        except (h2.exceptions.ProtocolError, UnicodeDecodeError) as error:
+            raise MalformedHeadError(str(error)) from error
+
+
 class Http2Connection(h2.connection.H2Connection):
     """The state of one connection, on either side.
 
@@ -86,13 +109,30 @@
     def _begin_new_stream(
         self, stream_id: int, allowed_ids: h2.connection.AllowedStreamIDs
     ) -> "H2Stream":
-        # Against one response of a wrong length ending all others on its connection, as the library
-        # has it. Server and client check lengths themselves.
         stream = super()._begin_new_stream(stream_id, allowed_ids)
-        # One function for all: one for each stream took 150 bytes.
-        stream._initialize_content_length = _accept_any_length  # type: ignore[method-assign]
+        # The library makes the stream itself, of its own class.
+        stream.__class__ = Http2Stream
         return stream
 
+    def _receive_headers_frame(
+        self, frame: HeadersFrame
+    ) -> tuple[list[Frame], list[h2.events.Event]]:
+        # Against one malformed message ending all others on its connection, as the library has it:
+        # the header block was decoded, so the state that all streams share is sound.
+        try:
+            return super()._receive_headers_frame(frame)
+        except MalformedHeadError:
+            stream = self.streams[frame.stream_id]
+            frames = (
+                [] if stream.closed else stream.reset_stream(h2.errors.ErrorCodes.PROTOCOL_ERROR)
+            )
+            event = h2.events.StreamReset(
+                stream_id=frame.stream_id,
+                error_code=h2.errors.ErrorCodes.PROTOCOL_ERROR,
+                remote_reset=False,
+            )
+            return frames, [event]
+
     def _receive_rst_stream_frame(
         self, frame: RstStreamFrame
     ) -> tuple[list[Frame], list[h2.events.Event]]:
@@ -112,7 +152,3 @@
         event.error_code = frame.error_code
         event.last_stream_id = frame.last_stream_id
         return [], [event]
-
-
-def _accept_any_length(headers: Iterable[Header]) -> None:
-    """Replace the library's check of a message's content length."""
