Background work is supervised: an unforeseen error is logged, counted, and survived

Operators: after one message (a MAC that is not ASCII, a heartbeat's answer that is no JSON) or one full disk a balancer followed no configuration, or no idempotency peers, for the rest of its life, served on, and logged nothing of it.

Cause: the task ended by TypeError, ValueError or OSError, and nobody looked at how it ended.

The three are mended at their places, and server/supervision.py runs all long-lived tasks: logged by name as background_fault, counted, begun again with backoff.

--- a/pepperhook/container/segment_writer.py
+++ b/pepperhook/container/segment_writer.py
@@ -115,7 +115,7 @@
             command = self._next_command()
             try:
                 self._execute(command)
-            except OSError as error:
+            except Exception as error:  # an end of the thread would drop all that comes
                 self._record_failure(error)
 
     def _next_command(self) -> Command:
@@ -184,8 +184,8 @@
         self.preservations += 1
         self._log.info("record_kept", folder=folder)
 
-    def _record_failure(self, error: OSError) -> None:
-        reason = error.strerror or str(error)
+    def _record_failure(self, error: Exception) -> None:
+        reason = getattr(error, "strerror", None) or f"{type(error).__name__}: {error}"
         if self.error is None:
             self._log.warning("record_broken", folder=self._directory.folder, error=reason)
         self.error = reason
--- a/pepperhook/control_plane/extension.py
+++ b/pepperhook/control_plane/extension.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 
 from pepperhook.control_plane.fleet_position import FleetPosition
 from pepperhook.control_plane.frames import MembershipView, StreamMessage
@@ -91,10 +92,11 @@
         self.applier.restore(self.last_good)
         connection = ServiceConnection(self._address, self._keys)
         self._connection = connection
-        loop = node.runtime.loop
+        supervisor = node.runtime.supervisor
+        handle = partial(self._handle, connection)
         self._tasks = [
-            loop.create_task(self.stream.run(connection, partial(self._handle, connection))),
-            loop.create_task(self._report(connection)),
+            supervisor.start("control stream", partial(self.stream.run, connection, handle)),
+            supervisor.start("control heartbeats", partial(self._report, connection)),
         ]
 
     async def left(self) -> None:
@@ -159,8 +161,11 @@
             if self.stream.connected:
                 try:
                     await self.heartbeats.send(connection)
-                except (aiohttp.ClientError, OSError) as error:
+                except (aiohttp.ClientError, OSError, msgspec.MsgspecError) as error:
                     self._log.info("heartbeat_failed", error=f"{type(error).__name__}: {error}")
-            if self.position.settle(time.monotonic_ns()):
-                self.applier.update_policy()
+            self._settle_position()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S * (0.75 + 0.5 * self._jitter.draw()))
+
+    def _settle_position(self) -> None:
+        if self.position.settle(time.monotonic_ns()):
+            self.applier.update_policy()
--- a/pepperhook/control_plane/heartbeat.py
+++ b/pepperhook/control_plane/heartbeat.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import UNSET
 
-from pepperhook.control_plane.messages import HEARTBEAT_PATH, Heartbeat
+from pepperhook.control_plane.messages import HEARTBEAT_PATH, Heartbeat, HeartbeatReply
 from pepperhook.control_plane.rollout_statistics import RequestCounts
 from pepperhook.control_plane.service_connection import ServiceConnection
 from pepperhook.control_plane.version_applier import VersionApplier
@@ -26,13 +26,13 @@
         self._applier = applier
 
     async def send(self, connection: ServiceConnection) -> None:
-        """Send one heartbeat. Raises ClientError, OSError."""
+        """Send one heartbeat. Raises ClientError, OSError, MsgspecError."""
         body = json.dumps(msgspec.to_builtins(self._heartbeat())).encode()
         async with connection.post(HEARTBEAT_PATH, body) as response:
             if response.status == HTTPStatus.OK:
                 # A restarted service has no upstreams, and says so by another checksum.
-                reply = await response.json()
-                self.acknowledged_checksum = reply.get("upstreams_mark", 0)
+                reply = msgspec.json.decode(await response.read(), type=HeartbeatReply)
+                self.acknowledged_checksum = reply.upstreams_checksum
 
     def _heartbeat(self) -> Heartbeat:
         upstreams = self._applier.endpoints.ready_names()
--- a/pepperhook/control_plane/service.py
+++ b/pepperhook/control_plane/service.py
@@ -27,6 +27,7 @@
 from pepperhook.control_plane.version_catalog import VersionCatalog
 from pepperhook.control_plane.version_streams import ServiceCounters, VersionStreams
 from pepperhook.key_ring import KeyRing
+from pepperhook.server.supervision import Supervisor
 
 TICK_INTERVAL_S = 0.25
 SAVE_MEMBERS_INTERVAL_S = 5.0
@@ -95,7 +96,11 @@
 
     def start(self) -> None:
         """Begin the periodic work; needs a running event loop."""
-        self._task = asyncio.create_task(self._run())
+        self._task = Supervisor(self._report_fault).start("control service", self._run)
+
+    def _report_fault(self, task: str, error: BaseException) -> None:
+        self.counters.background_faults += 1
+        self._log.error("%s: not foreseen: %s: %s", task, type(error).__name__, error)
 
     async def stop(self) -> None:
         """End the periodic work and close the store."""
--- a/pepperhook/idempotency/host.py
+++ b/pepperhook/idempotency/host.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Any, Protocol
 
+from pepperhook.server.supervision import Supervisor
+
 
 class Log(Protocol):
     """Structured events."""
@@ -24,6 +26,7 @@
 
     offset: int
     loop: asyncio.AbstractEventLoop
+    supervisor: Supervisor
 
     def now(self) -> int:
         """Return the time in nanoseconds."""
--- a/pepperhook/idempotency/journal/writer.py
+++ b/pepperhook/idempotency/journal/writer.py
@@ -50,6 +50,7 @@
     records: int = 0
     total_wait_s: float = 0.0
     max_wait_s: float = 0.0
+    dropped: int = 0  # records for which nobody waited, as the disk did not keep up
 
     def add_group(self, waits_s: Sequence[float]) -> None:
         """Add a group of records by how long each has waited."""
@@ -128,10 +129,12 @@
     # On the event loop.
 
     def append(self, record: Record) -> None:
-        """Queue a record for which nobody waits; it is dropped where the disk does not keep up."""
+        """Queue a record for which nobody waits; it is dropped, and counted, behind too many."""
         with self._queue_changed:
             if len(self._queue) < MAX_QUEUED_RECORDS:
                 self._enqueue(record, None)
+            else:
+                self.statistics.dropped += 1
 
     def append_durably(self, record: Record) -> asyncio.Future[None]:
         """Queue a record. The future is done when it is durable, or has a JournalWriteError."""
@@ -196,8 +199,8 @@
         """Write records; returns what went wrong."""
         try:
             self.persist(records)
-        except OSError as error:
-            reason = error.strerror or error
+        except Exception as error:  # an end of the thread would leave all that wait without an end
+            reason = getattr(error, "strerror", None) or f"{type(error).__name__}: {error}"
             if self._write_error is None:
                 self._log_event("journal_write_failed", directory=self.directory, error=reason)
             self._write_error = f"{self.directory}: {reason}"
--- a/pepperhook/idempotency/peers.py
+++ b/pepperhook/idempotency/peers.py
@@ -43,6 +43,7 @@
     forwarded: int = 0
     owner_unreachable: int = 0
     ownership_pending: int = 0
+    history_failures: int = 0
 
 
 class Peers:
@@ -81,7 +82,7 @@
         self._resume(host.runtime.now())
         self._save_history()
         self._server = peer_server.listen(host, self.ownership)
-        self._watcher = host.runtime.loop.create_task(self._watch())
+        self._watcher = host.runtime.supervisor.start("idempotency peers", self._watch)
 
     # The member list.
 
@@ -111,8 +112,17 @@
             return []
 
     def _save_history(self) -> None:
-        if self._history is not None:
+        """Save the lists that count; where the disk refuses, the next change tries again.
+
+        This member goes on by what it has in memory; only its restart would know less.
+        """
+        if self._history is None:
+            return
+        try:
             self._history.save([*self.ownership.previous, self.ownership.current])
+        except OSError as error:
+            self.counters.history_failures += 1
+            self._log.warning("member_list_history_not_saved", path=self._history.path, error=error)
 
     async def _watch(self) -> None:
         while True:
--- a/pepperhook/idempotency/recorder.py
+++ b/pepperhook/idempotency/recorder.py
@@ -69,6 +69,7 @@
         return {
             "commits": statistics.groups,
             "records": statistics.records,
+            "records_dropped": statistics.dropped,
             "commit_wait_ms": round(statistics.mean_wait_s * 1000, 2),
             "commit_wait_max_ms": round(statistics.max_wait_s * 1000, 1),
         }
--- a/pepperhook/key_ring.py
+++ b/pepperhook/key_ring.py
@@ -28,4 +28,9 @@
 
     def verify(self, key_id: str, data: bytes, mac: str) -> bool:
         """Tell whether ``mac`` is the one that the named key gives ``data``, in constant time."""
-        return key_id in self.secrets and hmac.compare_digest(self.mac(data, key_id), mac)
+        if key_id not in self.secrets:
+            return False
+        # As bytes: of texts, those beyond ASCII raise TypeError.
+        return hmac.compare_digest(
+            self.mac(data, key_id).encode(), mac.encode(errors="surrogatepass")
+        )
--- a/pepperhook/membership/extension.py
+++ b/pepperhook/membership/extension.py
@@ -183,14 +183,18 @@
         """Do what is due, act on a changed view, and set the timer for what is due next."""
         if self.transport is None or self.transport.is_closing():
             return
+        runtime = self.node.runtime
+        runtime.supervisor.guard("gossip", self._do_what_is_due)
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = (self.protocol.next_deadline() - self.now()) / NS_PER_S
+        self._timer = runtime.loop.call_later(max(MIN_TIMER_S, delay_s), self._run_due)
+
+    def _do_what_is_due(self) -> None:
         now = self.now()
         self.protocol.view.announce_config_version(self.config_version())
         self._send(self.protocol.tick(now))
         self._update_position(now)
-        if self._timer is not None:
-            self._timer.cancel()
-        delay_s = (self.protocol.next_deadline() - now) / NS_PER_S
-        self._timer = self.node.runtime.loop.call_later(max(MIN_TIMER_S, delay_s), self._run_due)
 
     def _update_position(self, now: int) -> None:
         grown = self._take_view(now)
--- a/tests/control_plane/test_malformed_messages.py
+++ b/tests/control_plane/test_malformed_messages.py
@@ -58,7 +58,7 @@
 
     async def heartbeat(request):
         heartbeats.append(json.loads(await request.read()))
-        return web.Response(body=reply)
+        return web.Response(body=reply, content_type="application/json")
 
     app = web.Application()
     app.router.add_get(STREAM_PATH, stream)
