A rejected repeat of a context no longer takes the first out of loop detection

Callers: where a node calls twice with one context and the second call is rejected as late, a call that came back to this tier was served again and again, up to its depth limit.

Cause: the end of the second went by id and depth, which both calls share.

A request knows whether it was noted as in flight. tests/request_context: passed; the new case failed before.

--- a/pepperhook/request_context/loop_detection.py
+++ b/pepperhook/request_context/loop_detection.py
@@ -33,12 +33,19 @@
 
     def enter(self, state: RequestState) -> None:
         """Note that a request is in flight here."""
+        state.is_in_flight = True
         self.in_flight.setdefault(state.request_id, []).append(state.depth)
 
     def leave(self, state: RequestState) -> None:
-        """Note that a request is no longer in flight here."""
-        depths = self.in_flight.get(state.request_id)
-        if depths and state.depth in depths:
-            depths.remove(state.depth)
-            if not depths:
-                del self.in_flight[state.request_id]
+        """Note that a request is no longer in flight here.
+
+        One that was rejected never was: its end must not take out another with its id and depth,
+        as where a node calls twice with one context.
+        """
+        if not state.is_in_flight:
+            return
+        state.is_in_flight = False
+        depths = self.in_flight[state.request_id]
+        depths.remove(state.depth)
+        if not depths:
+            del self.in_flight[state.request_id]
--- a/pepperhook/request_context/request_state.py
+++ b/pepperhook/request_context/request_state.py
@@ -50,6 +50,7 @@
     retry_stop: RetryStop | None = None
     may_have_executed: bool = False
     outcome: TierOutcome = TierOutcome.FAILED
+    is_in_flight: bool = False  # noted by the loop detection
 
 
 @dataclass(slots=True)
