A trace with more attempts than are kept ends with its request

Operators: the trace of a request with over 64 attempts stayed open, held its objects for the life of the process, and was written only at the shutdown, as open.

Cause: the end of an attempt beyond those that are kept was taken for one of another request, so nobody looked whether the request was over.

--- a/pepperhook/tracing/open_trace.py
+++ b/pepperhook/tracing/open_trace.py
@@ -80,7 +80,10 @@
     def end_attempt(self, now: int, attempt: domain.Attempt, outcome: domain.Outcome) -> bool:
         """Record the outcome of an attempt; return False if it was not open here."""
         record = self.attempts.get(attempt)
-        if record is None or record.ended >= 0:
+        if record is None:
+            # Beyond what is kept of a request, and yet its end may be the request's.
+            return self._end_uncounted(now, outcome)
+        if record.ended >= 0:
             return False
         record.ended = self._offset_us(now)
         record.outcome = OUTCOMES[outcome]
@@ -89,6 +92,11 @@
             self.finish(now, RequestOutcome.SERVED)
         return True
 
+    def _end_uncounted(self, now: int, outcome: domain.Outcome) -> bool:
+        if outcome == domain.Outcome.SERVED and not self.is_answered:
+            self.finish(now, RequestOutcome.SERVED)
+        return True
+
     def finish(self, now: int, outcome: RequestOutcome) -> None:
         """Record the final outcome; only the first one counts."""
         trace = self.trace
