Captures say which service classes a reconfiguration leaves the same objects

Operators: each state behind a change of the fleet was reported as different by a replay whose decisions were all the same.

Cause: the replay made all classes anew, while requests in flight hold those of before.

--- a/pepperhook/capture/driver.py
+++ b/pepperhook/capture/driver.py
@@ -1,6 +1,6 @@
 """Makes the calls of a capture to a policy, with the objects that its host would have."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from pepperhook.actions import StartAttempt
@@ -110,9 +110,19 @@
                 arguments = [self.upstreams[first], OUTCOME_OF[rest[0]], *rest[1:]]
             case "reconfigure":
                 weights = [(self.upstreams[u], weight) for u, weight in rest[0]]
-                arguments = [stored_settings.decode(first), weights]
+                arguments = [self.new_settings(first, *rest[1:]), weights]
         return arguments
 
+    def new_settings(self, stored: dict[str, Any], kept: Sequence[int] = ()) -> Settings:
+        """Return other settings, in which the service classes ``kept`` are the same objects."""
+        settings = stored_settings.decode(stored)
+        own = self.settings.service_classes
+        settings.service_classes = [
+            own[one.number] if one.number in kept and one.number < len(own) else one
+            for one in settings.service_classes
+        ]
+        return settings
+
     def call(self, word: str, now: int, stored: list[Any]) -> tuple[list[list[Any]], str | None]:
         """Make one call; return the actions as they are stored, and the fault's name or None."""
         self.calls += 1
--- a/pepperhook/capture/recorder.py
+++ b/pepperhook/capture/recorder.py
@@ -217,7 +217,11 @@
                 stored = [numbers.upstream(upstream, self.write_record), OUTCOMES[outcome], *rest]
             case "reconfigure", (settings, weights):
                 rows = [[numbers.upstream(u, self.write_record), weight] for u, weight in weights]
-                stored = [stored_settings.encode(settings), rows]
+                # Requests in flight hold their classes: which ones stay the same objects is a part
+                # of the state.
+                own = self.module.settings.service_classes
+                kept = [c.number for c in settings.service_classes if any(c is one for one in own)]
+                stored = [stored_settings.encode(settings), rows, kept]
         return stored
 
     def stored_updates(self, updates: Iterable[EndpointUpdate]) -> list[list[Any]]:
