Stand-ins write down when their event loops ran late

A stand-in that stands still stamps what comes later than it came, and the auditor could not tell that from a balancer that sends late.

--- a/pepperhook/lab/events.py
+++ b/pepperhook/lab/events.py
@@ -128,7 +128,15 @@
     out: list[int]
 
 
-Event = Try | Work | Told | Asked | Held | Probe | Connected | Happened | Extra | Sample
+class Stall(Struct, array_like=True, tag="stall"):
+    """A stand-in's event loop ran late: what it wrote down meanwhile has later times than it should."""
+
+    process: str
+    at: int  # when it ran on
+    late: int  # nanoseconds
+
+
+Event = Try | Work | Told | Asked | Held | Probe | Connected | Happened | Extra | Sample | Stall
 
 
 class Book:
