A stored state is read as data: nothing that a capture names is called

Operators: a capture that somebody sent ran any code in whoever replayed it or made a trace of it; a state of 100 bytes was enough.

Cause: the reader of states was an unpickler, which calls what a stream names, and getattr, one of the permitted names, leads from any class to eval.

capture/pickle_graph.py reads the same bytes by the opcodes that make data; classes, fields and the callbacks of timers come from closed tables (capture/state_factory.py). The shadow's copies stay in one process and use the quick reader.

--- a/pepperhook/capture/driver.py
+++ b/pepperhook/capture/driver.py
@@ -47,8 +47,18 @@
 
     def thaw(self, shape: str, data: bytes, *known: Any) -> None:
         """Begin with a whole state. Raises StateRefusedError if this build's has another shape."""
-        requests, attempts, upstreams, now, last = known
         module, objects = state.thaw(data, self.build, shape)
+        try:
+            self._begin_with(shape, module, objects, *known)
+        except StateRefusedError:
+            raise
+        except Exception as problem:
+            # A state of the right classes with values of wrong types.
+            raise StateRefusedError(f"the state can't be used: {problem}") from problem
+
+    def _begin_with(self, shape: str, module: Any, objects: Any, *known: Any) -> None:
+        requests, attempts, upstreams, now, last = known
+        _check_timers(module)
         fresh = state.shape(self.build.make(module.settings, 1, now))
         if state.shape(module) != fresh:
             text = f"its state has the shape {shape}, this build's policy has {fresh}"
@@ -165,3 +175,10 @@
         except KeyError:
             pass
         return ""
+
+
+def _check_timers(module: Any) -> None:
+    """Refuse a state with a repeated call that would never let the next wake-up end."""
+    for _, _, callback, argument in module.timers:
+        if callback.__name__ == module.repeat.__name__ and not argument[0] > 0:
+            raise StateRefusedError("a timer is repeated without a period")
--- a/pepperhook/capture/legacy_state.py
+++ b/pepperhook/capture/legacy_state.py
@@ -2,19 +2,17 @@
 
 0.2 had all decisions in one module, with other names, and plain maps for the settings. Its pickles
 are read into stand-ins first, as their graphs have cycles, and then copied object by object; what
-was one object stays one.
+was one object stays one. Nothing that they name is called.
 """
 
 from __future__ import annotations
 
-import io
-import pickle
-from collections import deque
 from collections.abc import Callable
 from functools import cache
 from typing import Any, TypeVar
 
-from pepperhook.capture import stored_settings
+from pepperhook.capture import pickle_graph, stored_settings
+from pepperhook.capture.pickle_graph import GlobalName
 from pepperhook.capture.policy_build import PolicyBuild
 from pepperhook.capture.state_errors import StateRefusedError
 from pepperhook.domain import (
@@ -124,10 +122,15 @@
 class LegacyObject:
     """Stands in for an object of 0.2: has its attributes, and nothing else."""
 
-    def __setstate__(self, stored: Any) -> None:
-        """Take the attributes, those of slots too."""
+    def set_attributes(self, stored: Any) -> None:
+        """Take the attributes, those of slots too. Raises StateRefusedError."""
         for part in stored if isinstance(stored, tuple) else (stored,):
-            self.__dict__.update(part or {})
+            if not isinstance(part, (dict, type(None))):
+                raise StateRefusedError("attributes that are no map")
+            for name, value in (part or {}).items():
+                if not isinstance(name, str) or name.startswith("__"):
+                    raise StateRefusedError(f"{name!r:.40} is no attribute")
+                self.__dict__[name] = value
 
     def __getattr__(self, name: str) -> Any:
         """Raise for what 0.2 did not store."""
@@ -154,24 +157,40 @@
     return type(name, (LegacyObject,), {})
 
 
-class LegacyReader(pickle.Unpickler):
-    """Makes stand-ins and plain containers only."""
+class LegacyFactory:
+    """Makes stand-ins of the classes of 0.2."""
 
-    def find_class(self, module_name: str, global_name: str) -> Any:
-        """Return what stands in for a global. Raises StateRefusedError."""
-        if (module_name, global_name) == ("collections", "deque"):
-            return deque
-        if (module_name, global_name) == ("builtins", "getattr"):
-            return LegacyMethod
-        if module_name in MODULES:
-            return legacy_class(global_name)
-        text = f"the state names {module_name}.{global_name}, which is no part of a policy"
-        raise StateRefusedError(text)
+    def check(self, named: GlobalName) -> None:
+        """Check a class that the state names. Raises StateRefusedError."""
+        if named.module not in MODULES:
+            text = f"the state names {named.module}.{named.name}, which is no part of a policy"
+            raise StateRefusedError(text)
+
+    def new(self, named: GlobalName, arguments: tuple[Any, ...]) -> LegacyObject:
+        """Return a stand-in without its attributes. Raises StateRefusedError."""
+        if arguments:
+            raise StateRefusedError(f"{named.name}: an object with arguments")
+        made: LegacyObject = legacy_class(named.name)()
+        return made
+
+    def value(self, named: GlobalName, _arguments: tuple[Any, ...]) -> Any:
+        """Refuse: 0.2 stored no values that a class makes."""
+        raise StateRefusedError(f"the state calls {named.module}.{named.name}")
+
+    def method(self, owner: Any, name: str) -> LegacyMethod:
+        """Return what stands for a bound method; its name is looked up in CALLBACKS."""
+        return LegacyMethod(owner, name)
+
+    def fill(self, made: Any, state: Any) -> None:
+        """Set the attributes, those of slots too. Raises StateRefusedError."""
+        if not isinstance(made, LegacyObject):
+            raise StateRefusedError("fields of what is no object")
+        made.set_attributes(state)
 
 
 def thaw(data: bytes, build: PolicyBuild) -> tuple[Any, Any]:
     """Return the policy and the host's references of a state of 0.2."""
-    module, (requests, attempts, upstreams) = LegacyReader(io.BytesIO(data)).load()
+    module, (requests, attempts, upstreams) = pickle_graph.read(data, LegacyFactory())
     converter = Converter(build)
     policy = converter.balancer(module)
     known = (
--- a/pepperhook/capture/replay.py
+++ b/pepperhook/capture/replay.py
@@ -18,7 +18,9 @@
 from pepperhook.capture.policy_build import PolicyBuild
 from pepperhook.capture.reader import open_capture, read_records
 from pepperhook.capture.recorder import ENCODER
+from pepperhook.capture.state_errors import StateRefusedError
 from pepperhook.capture.watched_actions import WatchedActions
+from pepperhook.container import UnreadableFileError
 
 MAX_EARLIER_CALLS = 12  # about the same request or upstream, that are reported with a difference
 MAX_REMEMBERED_CALLS = 400
@@ -74,6 +76,18 @@
         self.first: int | None = None
         self.last = 0
 
+    def take(self, record: list[Any]) -> None:
+        """Take in one record as it is stored. Raises UnreadableFileError, StateRefusedError."""
+        try:
+            kind, *fields = record
+            self.record(kind, fields)
+        except (LookupError, TypeError, ValueError, AttributeError) as problem:
+            if isinstance(problem, (StateRefusedError, UnreadableFileError)):
+                raise
+            raise UnreadableFileError(
+                f"{self.result.file}: a record can't be used: {problem!r:.120}"
+            ) from problem
+
     def record(self, kind: str, fields: list[Any]) -> None:
         """Take in one record."""
         if kind == "new":
@@ -153,8 +167,8 @@
         return msgspec.convert(make.replay(path), Replay)
     player = Player(path, make, watch_at)
     with open_capture(path) as reader:
-        for kind, *fields in read_records(reader):
-            player.record(kind, fields)
+        for record in read_records(reader):
+            player.take(record)
             if player.result.difference is not None:
                 break
         result = player.result
--- a/pepperhook/capture/state.py
+++ b/pepperhook/capture/state.py
@@ -1,13 +1,12 @@
 """A policy's whole state as bytes and back: from where a capture may begin in the middle of a life.
 
-Pickled by the standard library and read back by a reader that makes nothing but the project's own
-classes and plain containers. A state goes with its shape, the names of all classes and attributes
-in it: a build whose own policy has another shape refuses it, but for the shapes that
-``legacy_state`` translates. Equality is by a walk over both graphs together, which also sees what
-is shared.
+Pickled by the standard library, which is quick, and read back as data (``pickle_graph``): classes
+come from a closed table, and nothing that a state names is called. A state goes with its shape, the
+names of all classes and attributes in it: a build whose own policy has another shape refuses it,
+but for the shapes that ``legacy_state`` translates. Equality is by a walk over both graphs
+together, which also sees what is shared.
 """
 
-import io
 import pickle
 from collections import deque
 from collections.abc import Iterable
@@ -17,38 +16,22 @@
 
 from msgspec import Struct
 
-from pepperhook.capture import legacy_state
+from pepperhook.capture import legacy_state, pickle_graph
 from pepperhook.capture.policy_build import PolicyBuild
 from pepperhook.capture.state_errors import StateRefusedError
+from pepperhook.capture.state_factory import CLASSES, StateFactory
 from pepperhook.domain import Attempt, Request, Upstream
 
 PLAIN = (int, float, str, bytes, bool, type(None))
-CONTAINERS = {
-    ("collections", "deque"): deque,
-    ("builtins", "getattr"): getattr,
-    ("builtins", "frozenset"): frozenset,
-}
-OWN_MODULES = (
-    "pepperhook.balancer",
-    "pepperhook.decision_notes",
-    "pepperhook.domain",
-    "pepperhook.endpoint_ring",
-    "pepperhook.pipeline",
-    "pepperhook.policy",
-    "pepperhook.poll_backoff",
-    "pepperhook.scheduler",
-    "pepperhook.settings",
-    "pepperhook.service_times",
-    "pepperhook.statistics",
-    "pepperhook.unserved_requests",
-    "pepperhook.value_queue",
-)
+# They have parts of a policy that no state holds, but that belong to its shape.
+SUPPORT_MODULES = ("pepperhook.decision_notes", "pepperhook.pipeline", "pepperhook.scheduler")
 COMES_AND_GOES = (Request, Attempt, Upstream)
 
 
 def is_own(module: str) -> bool:
     """Return whether a module is one whose classes a state may hold."""
-    return module in OWN_MODULES or module.startswith("pepperhook.policy.")
+    is_support = module in SUPPORT_MODULES
+    return module in CLASSES or is_support or module.startswith("pepperhook.policy.")
 
 
 def names(thing: object) -> list[str]:
@@ -124,23 +107,13 @@
             module.notes = notes
 
 
-class StateReader(pickle.Unpickler):
-    """Makes nothing but classes of the project, as a build has them, and plain containers."""
+def clone(module: Any, known: Any) -> tuple[Any, Any]:
+    """Return a copy of a policy in this process, with the host's references into it.
 
-    def __init__(self, data: bytes, build: PolicyBuild) -> None:
-        """Read ``data`` with the classes of ``build``."""
-        super().__init__(io.BytesIO(data))
-        self.build = build
-
-    def find_class(self, module_name: str, global_name: str) -> Any:
-        """Return a class that a state may name. Raises StateRefusedError."""
-        if (module_name, global_name) in CONTAINERS:
-            return CONTAINERS[module_name, global_name]
-        found = self.build.find_class(module_name, global_name)
-        if found is None or not (is_own(module_name) or found is self.build.make):
-            text = f"the state names {module_name}.{global_name}, which is no part of a policy"
-            raise StateRefusedError(text)
-        return found
+    By the quick reader, as nothing of it was ever outside: what is stored is for ``thaw`` alone.
+    """
+    copied: tuple[Any, Any] = pickle.loads(freeze(module, known))
+    return copied
 
 
 def thaw(data: bytes, build: PolicyBuild, shape_digest: str | None = None) -> tuple[Any, Any]:
@@ -148,7 +121,7 @@
     try:
         if shape_digest in legacy_state.SHAPES:
             return legacy_state.thaw(data, build)
-        policy, known = StateReader(data, build).load()
+        policy, known = pickle_graph.read(data, StateFactory(build))
     except StateRefusedError:
         raise
     except Exception as problem:
--- a/pepperhook/shadow/twin.py
+++ b/pepperhook/shadow/twin.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from pepperhook.capture import state
-from pepperhook.capture.policy_build import as_build
 from pepperhook.errors import PepperhookError
 from pepperhook.settings import Settings
 
@@ -44,8 +43,7 @@
 
     def __init__(self, policy: Any, settings: Settings, arguments: tuple[Any, ...]) -> None:
         """Copy ``policy`` and the arguments that refer to its objects."""
-        frozen = state.freeze(policy, arguments)
-        self.policy, self.arguments = state.thaw(frozen, as_build(type(policy)))
+        self.policy, self.arguments = state.clone(policy, arguments)
         self.policy.configure(settings)
 
     def call(self, name: str, now: int) -> Any:
--- a/tests/capture/test_hostile_states.py
+++ b/tests/capture/test_hostile_states.py
@@ -8,7 +8,6 @@
 the callbacks of timers can be named.
 """
 
-import copyreg
 import pickle
 import sys
 from collections import OrderedDict, deque
@@ -18,8 +17,15 @@
 from hypothesis import strategies as st
 
 from pepperhook.balancer import Balancer
-from pepperhook.capture import policy_build, state
+from pepperhook.capture import policy_build, replay, state
+from pepperhook.capture.recorder import ENCODER
 from pepperhook.capture.state_errors import StateRefusedError
+from pepperhook.container import (
+    ContainerWriter,
+    FileMetadata,
+    UnreadableFileError,
+    frame_record,
+)
 from pepperhook.domain import Attempt, Request, Upstream
 from pepperhook.statistics import DecayingMoments
 from tests.capture.captured_world import CapturedWorld
@@ -57,14 +63,10 @@
     return Call(Call(Get(builtins, "__getitem__"), "eval"), text)
 
 
-class Built:
-    """Pickles as an object of ``kind`` with any state."""
-
-    def __init__(self, kind, value):
-        self.row = (kind.__new__, (kind,), value)
-
-    def __reduce__(self):
-        return copyreg.__newobj__, self.row[1], self.row[2]
+def built(module, name, value):
+    """Return the stream of an object with any state."""
+    named = b"".join(b"\x8c%c%s" % (len(text), text.encode()) for text in (module, name))
+    return b"\x80\x05" + named + b"\x93)\x81" + pickle.dumps(value, protocol=3)[2:-1] + b"b."
 
 
 MARKER = "hostile_state_ran"
@@ -77,11 +79,6 @@
     "attribute of a class": Get(Request, "__slots__"),
     "foreign class": OrderedDict(a=1),
     "foreign function": Call(sys.setrecursionlimit, 1000),
-    "shadowed method": Built(Balancer, {"accept": 7, "now": 1}),
-    "dunder attribute": Built(Balancer, {"__class__": 7}),
-    "unknown slot": Built(Request, (None, {"not_a_slot": 1})),
-    "state that is no map": Built(Request, 7),
-    "state of a list": Built(Balancer, [1, 2]),
     "deque of a number": Call(deque, 7),
 }
 RAW = {
@@ -96,6 +93,12 @@
     "missing memo": b"\x80\x05h\x07.",
     "bad text": b"\x80\x05\x8c\x01\xff.",
     "huge length": b"\x80\x05\x8e\xff\xff\xff\xff\xff\xff\xff\x7fx.",
+    "shadowed method": built("pepperhook.balancer", "Balancer", {"accept": 7, "now": 1}),
+    "dunder attribute": built("pepperhook.balancer", "Balancer", {"__class__": 7}),
+    "unknown slot": built("pepperhook.domain", "Request", (None, {"not_a_slot": 1})),
+    "state that is no map": built("pepperhook.domain", "Request", 7),
+    "state of a list": built("pepperhook.balancer", "Balancer", [1, 2]),
+    "fields of a class": b"\x80\x05\x8c\x11pepperhook.domain\x8c\x07Request\x93}b.",
     "unhashable key": b"\x80\x05}]Ns.",
 }
 
@@ -181,3 +184,39 @@
     finally:
         sys.setprofile(None)
     assert not called
+
+
+# Records of a capture.
+
+words = st.sampled_from(["new", "state", "upstream", "operation", "call", "fleet", "take", "wake"])
+scalars = words | st.integers(-3, 3) | st.none() | st.booleans() | st.binary(max_size=4)
+stored = st.recursive(
+    scalars,
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(words, inner, max_size=3),
+    max_leaves=8,
+)
+SETTINGS = {"grades": [], "customers": []}
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.lists(stored, max_size=8), max_size=4))
+def test_made_up_records_are_replayed_or_refused(tmp_path_factory, records):
+    path = tmp_path_factory.mktemp("capture") / "a"
+    writer = ContainerWriter(path, FileMetadata("capture", 1))
+    for record in [["new", SETTINGS, 1, 0], *records]:
+        writer.append(frame_record(ENCODER.encode(record)), 0)
+    writer.close()
+
+    try:
+        replay.play(path, Balancer)
+    except (StateRefusedError, UnreadableFileError):
+        return
+
+
+def test_state_with_a_timer_that_repeats_without_a_period_is_refused(stored_state):
+    policy, known = state.thaw(stored_state, policy_build.own())
+    policy.timers = [(0, 1, policy.repeat, (0, policy._review))]
+    driver = replay.Driver(Balancer)
+
+    with pytest.raises(StateRefusedError, match="period"):
+        driver.thaw(state.shape(policy), state.freeze(policy, known), [], [], [], 0, [0, 0, 0])
