lab trace-cost and the comparison of journals start again; mypy checks the lab's names

Operators: pepperhook lab trace-cost ended with ImportError, the comparison of journals in a program that it starts.

Cause: names were renamed, and nothing called these: their tests had stand-ins, and the lab was not type-checked.

Both use today's names; a revision is measured by its own code in a process of its own.

--- a/pepperhook/lab/journals.py
+++ b/pepperhook/lab/journals.py
@@ -135,7 +135,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 import psutil
-from pepperhook import model
+from pepperhook.domain import Effect, ServiceClass
 from pepperhook.idempotency.extension import Idempotency
 from pepperhook.idempotency.journal.record import Record
 from pepperhook.idempotency.journal.recovery import Recovery, recover
@@ -143,6 +143,7 @@
 from pepperhook.lab.journals import Sqlite
 from pepperhook.operator_config.schema import IdempotencyTable
 from pepperhook.server.structured_logging import Log
+from pepperhook.settings import Names, Settings, TenantQuota
 folder, which = Path(sys.argv[1]), sys.argv[2]
 before = psutil.Process().memory_info().rss
 at = time.perf_counter()
@@ -154,9 +155,10 @@
     records = {row[0]: Record(row[1], row[0], *row[2:]) for row in rows}
     recovery = Recovery(records, 0, False, 0.0)
     del records
-names = {"grades": {"sale": 0}, "customers": {"acme": 0}}
-grade = {"number": 0, "effect": model.UNSAFE, "limit_ns": 10 ** 9}
-config = SimpleNamespace(settings={"grades": [grade], "customers": [{"share": 1.0}]}, names=names)
+names = Names(service_classes={"sale": 0}, tenants={"acme": 0}, zones={}, kinds={})
+sale = ServiceClass(0, 10 ** 9, 10 ** 9, effect=Effect.UNSAFE)
+settings = Settings(service_classes=[sale], tenants=[TenantQuota(share=1.0)])
+config = SimpleNamespace(settings=settings, names=names)
 table = IdempotencyTable(max_entries=10 ** 7, max_mb=10000.0, unsafe_window_s=1e9)
 store = Idempotency(table, config, Log(logging.getLogger("x"))).store
 restore(store, recovery, ["acme"], 0, 0)
@@ -194,12 +196,13 @@
         for name, make in pairs[turn % 2 :] + pairs[: turn % 2]:
             writing[name].append(write(make, requests))
             gc.collect()
+    reading = []
     told = {
         "writing": {
             name: {key: statistics.median(row[key] for row in rows) for key in rows[0]}
             for name, rows in writing.items()
         },
-        "reading": [],
+        "reading": reading,
     }
     for at, count in enumerate(counts):
         tell(f"reading {count:,} entries", 0.5 + at / len(counts) / 2)
@@ -207,5 +210,5 @@
         place.mkdir()
         fill(place, count)
         for which in "own", "sqlite":
-            told["reading"].append({"journal": which, **read(place, which)})
+            reading.append({"journal": which, **read(place, which)})
     return told
--- a/pepperhook/lab/load.py
+++ b/pepperhook/lab/load.py
@@ -154,6 +154,8 @@
         "behind",
     )
 
+    data: bytes  # as it is sent, for once more on a new connection
+
     def __init__(self, load, identity, first, number, grade, customer, intended, to=-1):
         self.load, self.id, self.first, self.number, self.grade = (
             load,
--- a/pepperhook/lab/matrix.py
+++ b/pepperhook/lab/matrix.py
@@ -84,13 +84,13 @@
         (earned, possible), (earned2, possible2) = blocks(base[seed]), blocks(other[seed])
         most = min(len(possible), len(possible2))
         rows += list(zip(earned[:most], possible[:most], earned2[:most], possible2[:most]))
-    rows = numpy.array(rows)
+    table = numpy.array(rows)
     rng = numpy.random.default_rng(1)
-    draws = rows[rng.integers(0, len(rows), (DRAWS, len(rows)))].sum(axis=1)
+    draws = table[rng.integers(0, len(table), (DRAWS, len(table)))].sum(axis=1)
     difference = draws[:, 2] / numpy.maximum(1e-9, draws[:, 3]) - draws[:, 0] / numpy.maximum(
         1e-9, draws[:, 1]
     )
-    whole = rows.sum(axis=0)
+    whole = table.sum(axis=0)
     return (
         whole[2] / max(1e-9, whole[3]) - whole[0] / max(1e-9, whole[1]),
         *(float(x) for x in numpy.percentile(difference, [2.5, 97.5])),
--- a/pepperhook/lab/network.py
+++ b/pepperhook/lab/network.py
@@ -77,6 +77,8 @@
 
 
 class Relay:
+    ends: tuple  # the zones of its upstream and of its caller
+
     def __init__(self, network, target):
         self.network, self.target, self.sides, self.server = network, target, set(), None
         self.address, self.fillers = None, []
--- a/pepperhook/lab/planted.py
+++ b/pepperhook/lab/planted.py
@@ -436,7 +436,7 @@
     from pepperhook.tracing import merge
     from pepperhook.tracing.clock_offsets import Offset
 
-    merge.estimate_offsets = lambda names, bounds: {name: Offset(name, 0, 0) for name in names}
+    merge.estimate_offsets = lambda names, bounds: {name: Offset(name, 0, 0) for name in names}  # type: ignore[attr-defined]
 
 
 # In the control of versions.
@@ -464,7 +464,7 @@
     """No version is found to do harm."""
     from pepperhook.control_plane import version_applier
 
-    version_applier.violations_on_balancer = lambda document, view: []
+    version_applier.violations_on_balancer = lambda document, view: []  # type: ignore[attr-defined]
 
 
 def half_version():
@@ -477,10 +477,10 @@
         content = b"".join(self._chunks)
         self._announced = None
         self._chunks = []
-        return msgspec.json.decode(content, type=frames.Version)
+        return msgspec.json.decode(content, type=frames.Version)  # type: ignore[attr-defined]
 
     frames.FrameReader.assemble_version = assemble_version
-    frames.crc32 = lambda body: 0
+    frames.crc32 = lambda body: 0  # type: ignore[attr-defined]
 
 
 def lease_forever():
@@ -528,7 +528,7 @@
         compare_digest = staticmethod(lambda one, other: True)
         new = staticmethod(hmac.new)
 
-    datagram.hmac = Believing
+    datagram.hmac = Believing  # type: ignore[attr-defined]
 
 
 FAULTS = {
--- a/pepperhook/lab/proofs/base.py
+++ b/pepperhook/lab/proofs/base.py
@@ -43,6 +43,10 @@
             0,
         )
 
+    def run(self) -> tuple[bool, dict[str, Any]]:
+        """Plays the days: whether it holds, and its figures."""
+        raise NotImplementedError
+
     def told(self) -> experiment.Experiment:
         """The day that it is about, or the first of them."""
         return experiment.read(ROOT / "proofs" / f"{self.name}.toml")
--- a/pepperhook/lab/tracecost.py
+++ b/pepperhook/lab/tracecost.py
@@ -1,84 +1,128 @@
-"""What tracing costs the decisions: the calls of a capture played again with tracing off, sampled and whole, and with the module of
-another revision, in turn. Time is the processor's, of the calls to the module alone, so it is the decisions' part of an operation."""
+"""What tracing costs the decisions.
+
+The calls of a capture are played again with tracing off, sampled and whole, and by another
+revision, in turn. Time is the processor's, of the calls to the policy alone, so it is the
+decisions' part of a request. ``python -m pepperhook.lab.tracecost CAPTURE`` prints one run with
+tracing off as JSON; that is how a revision is measured, in a process of its own.
+"""
 
 import gc
+import json
+import subprocess
+import sys
 import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from statistics import median
+from typing import Any, NamedTuple
 
-from pepperhook import policy
+from pepperhook.balancer import Balancer
 from pepperhook.capture.driver import Driver
-from pepperhook.capture.replay import from_revision, records
+from pepperhook.capture.reader import open_capture, read_records
+from pepperhook.capture.revision_replay import RevisionBuild
+from pepperhook.container import UnreadableFileError
+from pepperhook.stored_words import CALLS
 from pepperhook.tracing.records import encode
 from pepperhook.tracing.tracer import Tracer
 
+NS_PER_S = 1e9
+US_PER_S = 1e6
+ROOT = Path(__file__).resolve().parents[2]
+WAYS: dict[str, float | None] = {"off": None, "sampled, 1%": 0.01, "whole": 1.0}
 
-def rows_of(path):
-    """(about, all records) of a capture, in memory."""
-    reader, each = records(path)
-    with reader:
-        return reader.metadata, list(each)
+Record = list[Any]
+Tell = Callable[[str, float], None]
 
 
-def play(rows, make, share=None):
-    """(seconds of the processor in calls, operations taken). ``share`` None: nobody traces."""
-    driver, kept, spent, taken = Driver(make), [], 0, 0
-    clock = time.process_time_ns
+class Run(NamedTuple):
+    """One replay of a capture."""
+
+    seconds: float  # of the processor, in calls of the policy
+    requests: int
+    traced_bytes: int = 0
+    traces: int = 0
+
 
-    for kind, *rest in rows:
-        if kind == "new" or kind == "state" and driver.module is None:
-            driver.new(*rest) if kind == "new" else driver.thaw(*rest)
-            if share is not None:
-                driver.module = Tracer(
-                    driver.module, lambda life: kept.append(encode(life)), (), (), share
-                )
+def play(records: Sequence[Record], sampled_fraction: float | None = None) -> Run:
+    """Replay the records; nobody traces where ``sampled_fraction`` is None."""
+    driver, traces = Driver(Balancer), []
+    spent_ns = requests = 0
+    clock = time.process_time_ns
+    for kind, *rest in records:
+        if kind == "new" or (kind == "state" and driver.module is None):
+            begin = driver.new if kind == "new" else driver.thaw
+            begin(*rest)
+            if sampled_fraction is not None:
+                keep = lambda trace: traces.append(len(encode(trace)))  # noqa: E731
+                driver.module = Tracer(driver.module, keep, (), (), sampled_fraction)
         elif kind == "upstream":
             driver.upstream(*rest)
         elif kind == "operation":
             driver.request(*rest)
         elif kind == "call" and driver.module is not None:
-            name, now, told, _, _ = rest
-            taken += name == "take"
+            name, now, arguments, _, _ = rest
+            requests += name == CALLS["accept"]
             begun = clock()
-            driver.call(name, now, told)
-            spent += clock() - begun
-    return spent / 1e9, taken, sum(map(len, kept)), len(kept)
+            driver.call(name, now, arguments)
+            spent_ns += clock() - begun
+    return Run(spent_ns / NS_PER_S, requests, sum(traces), len(traces))
 
 
-def measure(path, revision=None, rounds=7, tell=lambda *_: None):
-    """Microseconds an operation of each way, the least and the median over rounds, and the bytes a life before compression."""
-    from pathlib import Path
-    from statistics import median
+def read(path: str | Path) -> list[Record]:
+    """Return all records of a capture. Raises UnreadableFileError."""
+    with open_capture(path) as reader:
+        return list(read_records(reader))
 
-    about, rows = rows_of(path)
-    ways = {
-        "off": (policy.Balancer, None),
-        "sampled, 1%": (policy.Balancer, 0.01),
-        "whole": (policy.Balancer, 1.0),
-    }
-    if revision is not None:
-        ways = {
-            f"revision {revision}": (
-                from_revision(revision, Path(__file__).resolve().parents[2]),
-                None,
-            ),
-            **ways,
-        }
-    found, sizes = {name: [] for name in ways}, {}
+
+def play_revision(build: RevisionBuild, path: str | Path) -> Run:
+    """Replay with a revision's own code. Raises UnreadableFileError."""
+    done = subprocess.run(
+        [sys.executable, "-m", "pepperhook.lab.tracecost", str(Path(path).resolve())],
+        cwd=build.folder.name,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    if done.returncode:
+        reason = (done.stderr.strip().splitlines() or ["nothing was printed"])[-1]
+        raise UnreadableFileError(f"revision {build.revision}: {reason}")
+    return Run(*json.loads(done.stdout))
+
+
+def measure(
+    path: str | Path, revision: str | None = None, rounds: int = 7, tell: Tell = lambda *_: None
+) -> dict[str, Any]:
+    """Return microseconds a request in each way, and the bytes of a trace before compression."""
+    records = read(path)
+    build = None if revision is None else RevisionBuild(revision, ROOT)
+    names = [*([] if build is None else [f"revision {revision}"]), *WAYS]
+    runs: dict[str, list[Run]] = {name: [] for name in names}
     for turn in range(rounds):
-        order = list(ways.items())
-        order = order[turn % len(order) :] + order[: turn % len(order)]
-        for name, (make, share) in order:
+        first = turn % len(names)
+        for name in names[first:] + names[:first]:
             tell(name, turn / rounds)
             gc.collect()
-            spent, taken, size, kept = play(rows, make, share)
-            found[name].append(spent * 1e6 / max(1, taken))
-            sizes[name] = round(size / kept, 1) if kept else None
+            if build is not None and name not in WAYS:
+                runs[name].append(play_revision(build, path))
+            else:
+                runs[name].append(play(records, WAYS[name]))
     return {
         "file": str(path),
-        "operations": taken,
+        "operations": runs["off"][0].requests,
         "rounds": rounds,
-        "us_an_operation": {
-            name: {"least": round(min(times), 2), "median": round(median(times), 2)}
-            for name, times in found.items()
+        "us_an_operation": {name: _times(rows) for name, rows in runs.items()},
+        "raw_bytes_a_life": {
+            name: round(rows[-1].traced_bytes / rows[-1].traces, 1)
+            for name, rows in runs.items()
+            if rows[-1].traces
         },
-        "raw_bytes_a_life": {name: size for name, size in sizes.items() if size},
     }
+
+
+def _times(runs: Sequence[Run]) -> dict[str, float]:
+    times = [run.seconds * US_PER_S / max(1, run.requests) for run in runs]
+    return {"least": round(min(times), 2), "median": round(median(times), 2)}
+
+
+if __name__ == "__main__":
+    print(json.dumps(play(read(sys.argv[1]))))
--- a/pepperhook/lab/upstream.py
+++ b/pepperhook/lab/upstream.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from contextlib import suppress
+from typing import Any
 
 from pepperhook.lab import chance, events, machine, wire
 from pepperhook.lab.machine import Job
@@ -20,28 +21,46 @@
 
 
 class Attempt:
-    """One message on its way through: a Job's owner."""
+    """One message on its way through: a Job's owner. Times in nanoseconds."""
 
     __slots__ = (
+        "back",
+        "began",
+        "calls",
+        "came",
+        "carried",
+        "closed",
         "end",
-        "id",
-        "grade",
+        "ends_at",
+        "failed",
         "first_byte",
-        "came",
-        "limit",
+        "gone_at",
+        "grade",
+        "id",
         "job",
-        "began",
+        "limit",
         "nonce",
         "seen",
-        "calls",
-        "failed",
-        "gone_at",
-        "closed",
-        "ends_at",
-        "carried",
-        "back",
     )
 
+    back: list  # contexts that came back from the next tier
+    began: int  # 0: its work never began
+    calls: int
+    came: int
+    carried: bytes | None
+    closed: bool
+    end: Any
+    ends_at: int
+    failed: bool
+    first_byte: int
+    gone_at: int
+    grade: int
+    id: str
+    job: Job
+    limit: int
+    nonce: str
+    seen: int
+
 
 class End(asyncio.Protocol):
     """The upstream's end of one connection."""
--- a/pepperhook/lab/wire2.py
+++ b/pepperhook/lab/wire2.py
@@ -135,7 +135,7 @@
         link = await self.reach(exchange, Link2)
         if link is None:
             return
-        self.links.append(link)
+        self.links.append(link)  # type: ignore[attr-defined]
         if not exchange.over:
             exchange.written()
             link.begin(exchange, *told)
@@ -198,10 +198,10 @@
                 if self.upstream.hits("reset_before", self.upstream.now()):
                     self.h2.reset_stream(number, Codes.REFUSED_STREAM)
                     continue
-                self.streams[number] = StreamEnd(self, number, dict(event.headers))
+                self.streams[number] = StreamEnd(self, number, dict(event.headers))  # type: ignore[attr-defined]
                 self.upstream.ends.add(self.streams[number])
             elif kind is h2.events.DataReceived:
-                self.h2.acknowledge_received_data(event.flow_controlled_length, number)
+                self.h2.acknowledge_received_data(event.flow_controlled_length, number)  # type: ignore[attr-defined]
             elif kind is h2.events.StreamEnded and number in self.streams:
                 stream = self.streams[number]
                 try:
