Lab: a relay keeps the order within a connection where its delay ends

Seen: an upstream read an HTTP/2 request without a path, 7 ms after the end of a net_delay.

Cause: what came after the delay's end was written at once, before what was still delayed, so header blocks came in another order than they were encoded in. A network never does that within a connection.

--- a/pepperhook/lab/network.py
+++ b/pepperhook/lab/network.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from collections import deque
 from contextlib import suppress
 
 from pepperhook.lab import events, experiment, wire
@@ -21,6 +22,7 @@
             None,
             [],
         )
+        self.delayed = deque()  # rows of (when it is due, data), in the order in which they came
 
     def connection_made(self, transport):
         self.transport = transport
@@ -60,10 +62,27 @@
         ):
             self.lost = True
             return
-        if relay.delay_s:
-            asyncio.get_running_loop().call_later(relay.delay_s, self.write, data)
-        else:
+        if not relay.delay_s and not self.delayed:
             self.write(data)
+            return
+        # Behind all that came before it, also where the delay has ended since: a network never changes the order within a
+        # connection.
+        self.delayed.append((asyncio.get_running_loop().time() + relay.delay_s, data))
+        if len(self.delayed) == 1:
+            self.arm()
+
+    def arm(self):
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, self.delayed[0][0] - loop.time()), self.write_due)
+
+    def write_due(self):
+        """Writes what comes first, and all that is due behind it."""
+        self.write(self.delayed.popleft()[1])
+        now = asyncio.get_running_loop().time()
+        while self.delayed and self.delayed[0][0] <= now:
+            self.write(self.delayed.popleft()[1])
+        if self.delayed:
+            self.arm()
 
     def write(self, data):
         if self.other is not None and not self.other.transport.is_closing():
