Lab: clients over HTTP/2 read the answers to streams that a GOAWAY leaves open

Seen: a request lost at a planned restart, though the balancer had answered it.

Cause: the stand-in's library takes a GOAWAY for the end of the connection; the answer was a protocol error to it. The stand-in uses the connection that has this mended. tests/lab/test_goaway.py fails without it.

--- a/pepperhook/lab/wire2.py
+++ b/pepperhook/lab/wire2.py
@@ -10,6 +10,7 @@
 import h2.exceptions
 import h2.settings
 
+from pepperhook.http2.connection import Http2Connection
 from pepperhook.lab import wire
 
 PREFACE = b"PRI * HTTP/2.0"
@@ -23,7 +24,8 @@
 
     def __init__(self, pool):
         self.pool, self.transport, self.streams, self.gone = pool, None, {}, False
-        self.h2 = h2.connection.H2Connection(
+        # Not the library's own: it takes a GOAWAY for the end of all streams, also of those that are still answered.
+        self.h2 = Http2Connection(
             h2.config.H2Configuration(client_side=True, header_encoding="utf-8")
         )
 
