Signals behind the last answer no longer end a balancer as if it had crashed

Seen: a soak run ended a balancer with -15 at the second SIGTERM of its end; a SIGHUP or SIGUSR1 in that moment does the same. A supervisor takes that for a crash.

Cause: the event loop sets signals back to their default as it closes, and the interpreter takes some hundredths of a second more to end.

--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -57,6 +57,17 @@
     return operator_config.build(path, read_config, log)
 
 
+def ignore_late_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore signals from now on: all is answered, and the process ends.
+
+    The loop would set them back to their default as it closes, by which one more SIGTERM, or a
+    SIGHUP, ends the process as if it had crashed.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def serve(read_config: config.Config, log: structured_logging.Log, **options: Any) -> None:
     """Run a balancer until SIGTERM or SIGINT; ``options``: those of BalancerApp."""
     stop = asyncio.Event()
@@ -69,6 +80,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload, app, log)
     await stop.wait()
     await app.shut_down()
+    ignore_late_signals(loop)
 
 
 def main(policy_factory: Callable[..., Any] = Balancer) -> int:
--- a/tests/server/test_process.py
+++ b/tests/server/test_process.py
@@ -102,3 +102,22 @@
         assert "Too many open files" not in log
         assert "Traceback" not in log
         service.close()
+
+
+async def test_signals_at_the_very_end_do_not_end_it_as_if_it_had_crashed(tmp_path):
+    """Found by the soak: "crash: balancer 1 ended with -15", at a second SIGTERM near the end.
+
+    The event loop sets signals back to their default as it closes, and the interpreter takes some
+    hundredths of a second more to end.
+    """
+    balancer = BalancerProcess(write_config(tmp_path))
+    await balancer.wait_for_event("started")
+    balancer.signal(signal.SIGTERM)
+    await balancer.wait_for_event("ended")
+
+    while balancer.process.poll() is None:
+        balancer.signal(signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
+        await asyncio.sleep(0.001)
+
+    await balancer.read_rest_of_log()
+    assert balancer.process.returncode == 0
