--- a/pepperhook/lab/planted.py
+++ b/pepperhook/lab/planted.py
@@ -407,19 +407,18 @@
 
 
 def descriptor_leaked():
-    """Each cancelled attempt leaves a descriptor open."""
+    """Each cancelled request, whose client has left, leaves a descriptor open."""
     import os
 
-    from pepperhook.server.upstream_pool import UpstreamPool
+    from pepperhook.server.request_lifecycle import RequestLifecycle
 
-    plain, kept = UpstreamPool._attempt_ended, []
+    plain, kept = RequestLifecycle._client_left, []
 
-    def attempt_ended(self, attempt, inbox, task):
-        if task.cancelled():
-            kept.append(os.dup(2))
-        plain(self, attempt, inbox, task)
+    def client_left(self):
+        kept.append(os.dup(2))
+        plain(self)
 
-    UpstreamPool._attempt_ended = attempt_ended
+    RequestLifecycle._client_left = client_left
 
 
 def resting_dropped():
--- a/pepperhook/lab/soak/draw.py
+++ b/pepperhook/lab/soak/draw.py
@@ -23,6 +23,7 @@
 MIN_FAULTS, MAX_FAULTS = 3, 8
 FIRST_FAULT_S, LAST_FAULT_S = 1.0, 5.0  # after the start, and before the end
 CROWD_CHANCE = 0.5
+WORK_MS = 8.0  # of a core for a request, in which its client may leave
 # An interpreter that has not begun to run the program is ended by any signal.
 STARTING_MS = (400.0, 1200.0)
 SECOND_TIER_CHANCE = 0.3
@@ -118,7 +119,7 @@
         clients=Clients(
             protocol=rng.choice(("http/1.1", "http/1.1", "h2")),
             retries=rng.choice((0, 1, 2)),
-            leave=rng.choice((0.0, 0.03, 0.1)),
+            leave=rng.choice((0.0, 0.2, 0.5)),
         ),
         front=Front(notice_s=FRONT_NOTICE_S),
         discovery=Discovery(),
@@ -156,21 +157,21 @@
 def _draw_grades(rng: random.Random) -> list[Grade]:
     limit_ms = rng.choice((600.0, 1000.0, 1500.0))
     return [
-        Grade(name="look", time_limit_ms=limit_ms, work_ms=3.0, spread=0.5, share=4.0),
+        Grade(name="look", time_limit_ms=limit_ms, work_ms=WORK_MS, spread=0.5, share=4.0),
         Grade(
             name="hold",
             effect="deduplicated",
             key_ttl_ms=3000.0,
             group=rng.choice(("all", "cell")),
             time_limit_ms=limit_ms,
-            work_ms=3.0,
+            work_ms=WORK_MS,
             share=3.0,
         ),
         Grade(
             name="sale",
             effect="at_most_once",
             time_limit_ms=limit_ms,
-            work_ms=3.0,
+            work_ms=WORK_MS,
             share=3.0,
             body_bytes=rng.choice((0, 3000)),
         ),
