KNOWN-RED.txt has one line an entry

Its entries stood on four lines each, which whoever reads the list line by line takes for entries that lack fields. One line has test, command with its seed, what was seen and the issue, and is read as strictly.

--- a/pepperhook/lab/proofs/base.py
+++ b/pepperhook/lab/proofs/base.py
@@ -29,6 +29,7 @@
 
     name: str
     plants: dict[str, str] = {}
+    run: Callable[[], tuple[bool, dict[str, Any]]]  # whether it holds, and its figures
     write = None  # where a proof is a measurement, too: write(folder, told)
 
     def __init__(
@@ -43,10 +44,6 @@
             0,
         )
 
-    def run(self) -> tuple[bool, dict[str, Any]]:
-        """Plays the days: whether it holds, and its figures."""
-        raise NotImplementedError
-
     def told(self) -> experiment.Experiment:
         """The day that it is about, or the first of them."""
         return experiment.read(ROOT / "proofs" / f"{self.name}.toml")
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,13 +1,11 @@
 """Reads KNOWN-RED.txt, the list of tests that fail for a fault that is still open.
 
-Entries are separated by an empty line; each has one line for every field:
+One line an entry, with its four fields in this order:
 
-    test: tests/server/test_x.py::test_y        a pytest test; all its cases, or one: test_y[case]
-    test: scenario NAME                         an acceptance scenario
-    test: soak SEED                             a day of ``pepperhook lab soak``
-    command: what plays it, with its seed
-    seen: what was seen
-    issue: the number of the open issue
+    test: TEST | command: COMMAND with its seed | seen: what was seen | issue 47
+
+TEST is a pytest test, with all its cases or one of them (``tests/x.py::test_y[case]``), ``scenario
+NAME`` for an acceptance scenario, or ``soak SEED`` for a run of ``pepperhook lab soak``.
 
 ``python -m tests.known_red scenario NAME`` prints the entry of a scenario; exit code 0: listed,
 1: not listed, 2: the list is malformed.
@@ -16,13 +14,17 @@
 import ast
 import re
 import sys
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
 PATH = ROOT / "KNOWN-RED.txt"
 SCENARIO = "scenario "
 SOAK = "soak "
+ENTRY = re.compile(
+    r"test: (?P<test>[^|]*[^|\s]) \| command: (?P<command>[^|]*[^|\s]) "
+    r"\| seen: (?P<seen>[^|]*[^|\s]) \| issue (?P<issue>\d+)"
+)
 PYTEST_ID = re.compile(r"(?P<file>tests/[\w/]+\.py)::(?P<name>\w+)(?P<case>\[.+\])?")
 
 
@@ -47,32 +49,23 @@
         return node_id == self.test or node_id.partition("[")[0] == self.test
 
 
-FIELDS = tuple(field.name for field in fields(Entry))
-
-
 def parse(text: str) -> list[Entry]:
     """Return the entries. Raises MalformedEntryError."""
-    blocks = re.split(r"\n(?:[ \t]*\n)+", text.strip("\n")) if text.strip() else []
-    entries = [_parse_block(block) for block in blocks]
+    entries = [_parse_line(line) for line in text.splitlines() if line.strip()]
     for entry in entries:
         if [other.test for other in entries].count(entry.test) > 1:
             raise MalformedEntryError(f"{entry.test}: listed twice")
     return entries
 
 
-def _parse_block(block: str) -> Entry:
-    values = {}
-    for line in block.splitlines():
-        name, separator, value = line.partition(": ")
-        if not separator or name not in FIELDS or name in values or not value.strip():
-            raise MalformedEntryError(f"KNOWN-RED.txt: not one of {', '.join(FIELDS)}: {line!r}")
-        values[name] = value.strip()
-    missing = [name for name in FIELDS if name not in values]
-    if missing:
-        raise MalformedEntryError(f"KNOWN-RED.txt: {missing[0]} is missing in: {block!r:.80}")
-    if not values["issue"].isdecimal():
-        raise MalformedEntryError(f"KNOWN-RED.txt: issue: a number is wanted: {values['issue']}")
-    return Entry(**values)
+def _parse_line(line: str) -> Entry:
+    match = ENTRY.fullmatch(line)
+    if match is None:
+        raise MalformedEntryError(
+            "KNOWN-RED.txt: 'test: ... | command: ... | seen: ... | issue N' is wanted, "
+            f"not {line!r:.80}"
+        )
+    return Entry(**match.groupdict())
 
 
 def check(entry: Entry, scenarios: tuple[str, ...], root: Path = ROOT) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -4,11 +4,7 @@
 
 from tests import known_red
 
-ENTRY = """test: {test}
-command: pytest tests/test_one.py
-seen: it was wrong
-issue: 46
-"""
+ENTRY = "test: {test} | command: pytest tests/test_one.py | seen: it was wrong | issue 46\n"
 pytest_plugins = ("pytester",)
 FAILING = "def test_wrong():\n    assert False\n\ndef test_right():\n    pass\n"
 
@@ -30,10 +26,10 @@
     "text",
     [
         "scenario h2: it was wrong; issue 43\n",
-        ENTRY.format(test="scenario h2").replace("seen: it was wrong\n", ""),
-        ENTRY.format(test="scenario h2").replace("issue: 46", "issue: soon"),
+        ENTRY.format(test="scenario h2").replace("| seen: it was wrong ", ""),
+        ENTRY.format(test="scenario h2").replace("issue 46", "issue soon"),
         ENTRY.format(test="scenario h2").replace("seen: it was wrong", "seen:  "),
-        ENTRY.format(test="scenario h2") + "seen: something else\n",
+        ENTRY.format(test="scenario h2") + "| seen: something else\n",
         ENTRY.format(test="scenario h2") + "\n" + ENTRY.format(test="scenario h2"),
     ],
 )
