HTTP/2 connections that begin while a balancer leaves get GOAWAY

GOAWAY was written once, to connections that were known to speak HTTP/2 at SIGTERM; those accepted later, and those whose preface came later, never got one.

A connection now asks whether the server shuts down when its protocol begins: GOAWAY with the highest stream id at once, the final one after 0.1 s, in which what is on its way is accepted (RFC 9113, 6.8).

--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -30,6 +30,8 @@
     from pepperhook.server.metrics import Counters
 
 SWEEP_INTERVAL_S = 0.2  # between looks for messages whose time is up
+MAX_STREAM_ID = 2**31 - 1  # in a GOAWAY that leaves open which streams are accepted (RFC 9113, 6.8)
+GOAWAY_NOTICE_S = 0.1  # between that GOAWAY and the final one: requests may be on their way
 
 
 class ServerConnection(ManagedConnection, Http2Protocol):
@@ -66,6 +68,7 @@
         self.is_over = False  # the connection is closing or closed
         self.ends = self.loop.time() + MESSAGE_S
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._goaway_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Have the connection counted, and announce the settings of this side."""
@@ -82,11 +85,15 @@
                 SettingCodes.ENABLE_CONNECT_PROTOCOL: 0,
             },
         )
+        if self.is_shutting_down():
+            self._announce_shutdown()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up all streams, and have the connection forgotten."""
         self.is_over = True
         self.transport = None
+        if self._goaway_timer is not None:
+            self._goaway_timer.cancel()
         self._cancel_streams()
         self.connections.connection_lost(self, exc)
 
@@ -242,15 +249,27 @@
 
     # Closing.
 
+    def _announce_shutdown(self) -> None:
+        """Tell a client that comes while the server shuts down to begin nothing new here.
+
+        What it sends before it reads that is accepted, for as long as it may be on its way.
+        """
+        self._write_goaway(MAX_STREAM_ID)
+        self._goaway_timer = self.loop.call_later(GOAWAY_NOTICE_S, self.go_away)
+
     def go_away(self) -> None:
         """Begin to shut down: what was accepted is answered, later streams are refused."""
         if self.is_going_away or self.is_over or self.transport is None:
             return
         self.is_going_away = True
+        self._write_goaway(self.last_stream_id)
+        self._check_idle()
+
+    def _write_goaway(self, last_stream_id: int) -> None:
         # Written beside the library's state, which would take it for the end of the connection.
-        frame = GoAwayFrame(0, last_stream_id=self.last_stream_id, error_code=ErrorCodes.NO_ERROR)
+        frame = GoAwayFrame(0, last_stream_id=last_stream_id, error_code=ErrorCodes.NO_ERROR)
+        assert self.transport is not None  # callers have checked it
         self.transport.write(frame.serialize())
-        self._check_idle()
 
     def retire(self) -> None:
         """Close the connection gracefully."""
