A request accepted in a shutdown has its deadline before the process ends

Callers over HTTP/2 lost a request sent up to 0.5 s after SIGTERM if its upstream hung: connections are closed 0.3 s after the longest time limit counted from SIGTERM, but a request accepted later kept its whole limit.

The ingress learns at the beginning of a shutdown when connections are closed, and bounds each later deadline by that, for every protocol and for what other balancers forward.

The case over HTTP/2 of the new test fails on the code before (no response); that over HTTP/1.1 held, by the tenth of a second that closing gives its handlers.

--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -228,6 +228,7 @@
     async def close(self, accept_s: float, within_s: float) -> None:
         """Accept briefly, answer all that was accepted, close connections after that."""
         self.is_shutting_down = True
+        self.ingress.begin_shutdown(accept_s + within_s)
         self.server.go_away()
         await asyncio.sleep(accept_s)
         loop = self.runtime.loop
--- a/pepperhook/server/ingress.py
+++ b/pepperhook/server/ingress.py
@@ -115,6 +115,7 @@
         self.tenants = config.names.tenants
         self.settings = config.settings
         self.longest_s = 0.0  # the longest time limit so far
+        self.closes_at_ns: int | None = None  # in a shutdown: when connections are closed
         self.ids = RequestIdRegistry(0.0, runtime.loop)
         self._unlogged_refusals = 0
         self._log_refusals_at = 0.0
@@ -126,6 +127,10 @@
         self.longest_s = max(self.longest_s, longest_ns / NS_PER_S)
         self.ids.keep_s = self.longest_s
 
+    def begin_shutdown(self, closes_in_s: float) -> None:
+        """Let requests that are accepted from now on be answered before connections are closed."""
+        self.closes_at_ns = self.runtime.now() + int(closes_in_s * NS_PER_S)
+
     def health(self) -> tuple[int, str]:
         """Return status and text for whoever asks whether requests may come."""
         if self.discovery.ready:
@@ -194,6 +199,9 @@
         asked_ms = _whole_number(headers, "X-Timeout-Ms")
         if asked_ms is not None:
             limit_ns = min(limit_ns, asked_ms * NS_PER_MS)
+        now_ns = self.runtime.now()
+        if self.closes_at_ns is not None:
+            limit_ns = min(limit_ns, max(0, self.closes_at_ns - now_ns))
         # Counted from the sending, which nobody reports: the way here is in the margin; a core that
         # is late may have let it lie as long, and may let the response lie; the first one on a
         # connection may have waited to be accepted.
@@ -202,7 +210,7 @@
             + min(limit_ns // 2, TIME_LIMIT_MARGIN_NS)
             + LATENESS_FACTOR * self.runtime.lateness_ns()
         )
-        deadline = self.runtime.now() + max(0, limit_ns - lost_ns)
+        deadline = now_ns + max(0, limit_ns - lost_ns)
         cost_us = _whole_number(headers, "X-Cost")
         return Request(
             headers["X-Request-ID"],
--- a/tests/http2/test_shutdown.py
+++ b/tests/http2/test_shutdown.py
@@ -9,7 +9,7 @@
 from pepperhook.http2.connection import Http2Connection
 from tests.http2.balancers import HTTP2_CLIENTS, until
 from tests.http2.scripted_client import ScriptedClient
-from tests.server.balancers import RunningBalancer
+from tests.server.balancers import RunningBalancer, with_service_classes
 from tests.server.peers import ScriptedPeer, always, make_response
 
 ACCEPT_S = 0.3
@@ -118,3 +118,26 @@
         assert (await client.response(accepted)).status == 200
         await shutdown
         assert len(peer.requests) == 1
+
+
+@pytest.mark.parametrize("protocol", ["HTTP/1.1", "HTTP/2"])
+async def test_request_accepted_late_in_a_shutdown_is_answered_before_the_process_ends(protocol):
+    # Against a request whose own deadline lies behind the end of the process.
+    settings = with_service_classes(timeLimitUs=600_000)
+    async with (
+        ScriptedPeer(always(None)) as peer,
+        RunningBalancer([peer.address], HTTP2_CLIENTS, env=settings) as balancer,
+    ):
+        shutdown = asyncio.ensure_future(balancer.app.shut_down(accept_s=0.5))
+        await asyncio.sleep(0.47)
+        if protocol == "HTTP/2":
+            client = await connect(balancer)
+            client.begin()
+            stream = client.request("/pay", "POST", b"x", x_timeout_ms="600")
+            status = (await client.response(stream)).status
+        else:
+            status = await balancer.status("/pay", b"POST", b"x", X_Timeout_Ms="600")
+
+        assert status == 500
+        assert len(peer.requests) == 1
+        await shutdown
