Lab: one timeline of instances for stand-ins and endpoint list

The list told drains and ends by the first name of a place, also of instances listed under a later name, so balancers never heard of them, while the auditor goes by the place.

lab/instances.py makes one timeline of a tier from its faults: one name, one life, a fault happens to whoever lives then. Stand-ins, list and the balancers beside upstreams follow it. Whole lists write down whom they do not name as gone, which makes the check stricter.

--- a/pepperhook/lab/day.py
+++ b/pepperhook/lab/day.py
@@ -20,6 +20,7 @@
 from msgspec.structs import replace
 
 from pepperhook.lab import audit, events, experiment
+from pepperhook.lab.instances import Timeline, Transition
 from pepperhook.lab.load import healthy
 
 S = 10**9
@@ -335,18 +336,11 @@
     def steps(self):
         """What this process does over the day: rows of (seconds, order, work)."""
         rows = []
+        for tier in range(1, len(self.day.tiers)):
+            rows += self.lifecycles(tier)
         for trouble in self.day.troubles:
             moments = list(experiment.moments(self.day, trouble))
-            if trouble.what in ("crash", "cold", "replaced", "released") and trouble.tier + 1 < len(
-                self.day.tiers
-            ):
-                # The balancer that an upstream has for its calls dies and comes back with it.
-                for number, at, ends in moments:
-                    balancer = self.balancers[trouble.tier + 1, number]
-                    at += (trouble.size or 1.0) if trouble.what == "released" else 0
-                    rows.append((at, lambda b=balancer: self.kill(b)))
-                    rows.append((max(at, ends - LEAD_S), lambda b=balancer: b.begin()))
-            elif trouble.what == "kill_balancer":
+            if trouble.what == "kill_balancer":
                 for number, at, ends in moments:
                     balancer = self.balancers[trouble.tier, number]
                     rows.append((at, lambda b=balancer: self.kill(b)))
@@ -370,6 +364,19 @@
         # What would end behind the day does not: the load is over by then.
         return sorted((row for row in rows if row[0] <= self.day.seconds), key=lambda row: row[0])
 
+    def lifecycles(self, tier):
+        """What becomes of a later tier's balancers, each of which dies and comes back with the upstream that calls by it."""
+        rows, ended = [], {}
+        for step in Timeline.of(self.day, tier - 1).steps:
+            balancer = self.balancers[tier, step.number]
+            if step.transition is Transition.END:
+                ended[step.number] = step.at
+                rows.append((step.at, lambda b=balancer: self.kill(b)))
+            elif step.transition is Transition.START:
+                at = max(ended[step.number], step.at - LEAD_S)
+                rows.append((at, lambda b=balancer: b.begin()))
+        return rows
+
     def along(self):
         for at, work in self.steps():
             while (left := self.start / S + at - time.monotonic()) > 0:
--- a/pepperhook/lab/discovery.py
+++ b/pepperhook/lab/discovery.py
@@ -12,41 +12,11 @@
 
 from pepperhook.lab import chance, events, experiment, wire
 from pepperhook.lab.call_queue import CallQueue
+from pepperhook.lab.instances import GONE, READY, Timeline, host_name
 
 S = 10**9
 
 
-def changes(plan, tier):
-    """The list's changes over the day, from what happens to upstreams: rows of (seconds, upstream, host, state, born)
-    in order; born is seconds into the day, or None for long ago."""
-    day, rows = plan.day, []
-    for trouble in day.troubles:
-        if trouble.tier != tier or trouble.what not in experiment.OF_UPSTREAMS:
-            continue
-        notice = day.discovery.notice_s
-        for number, at, ends in experiment.moments(day, trouble):
-            name = host(tier, number)
-            if trouble.what in ("crash", "cold"):
-                if trouble.for_ > notice:
-                    rows.append((at + notice, number, name, "gone", None))
-                rows.append((ends + notice, number, name, "ready", ends))
-            elif trouble.what == "replaced":
-                rows.append((at + notice, number, name, "gone", None))
-                rows.append((ends + notice, number, f"{name}-r{trouble.at:g}", "ready", ends))
-            elif trouble.what == "drain":
-                rows.append((at, number, name, "draining", None))
-                rows.append((ends, number, name, "ready", None))
-            elif trouble.what == "released":
-                rows.append((at, number, name, "draining", None))
-                rows.append((at + (trouble.size or 1.0), number, name, "gone", None))
-                rows.append((ends + notice, number, f"{name}-r{trouble.at:g}", "ready", ends))
-    return sorted(rows, key=lambda row: row[0])
-
-
-def host(tier, number):
-    return f"t{tier}-{number:02d}"
-
-
 class Catalog:
     """One tier's list at a moment."""
 
@@ -55,7 +25,7 @@
         self.log = []  # (seq, host) of each change
         born = 0 if not plan.day.cold else int(time.time() * 1000)
         for number in range(plan.day.tiers[tier].upstreams):
-            self.rows[host(tier, number)] = (number, "ready", born)
+            self.rows[host_name(tier, number)] = (number, READY, born)
         self.changed = asyncio.Event()
 
     def change(self, number, name, state, born):
@@ -69,7 +39,7 @@
     def news(self, since):
         """The names of the rows that an answer has, and whether they are the whole list."""
         if since is None or since > self.seq:
-            return [name for name, row in self.rows.items() if row[1] != "gone"], True
+            return [name for name, row in self.rows.items() if row[1] != GONE], True
         at = bisect.bisect_right(self.log, (since, "\uffff"))
         return list(dict.fromkeys(name for _, name in self.log[at:])), False
 
@@ -90,9 +60,16 @@
                     "born_ms": born,
                 }
             )
-        return {"seq": self.seq, "whole": whole, "hosts": rows}, [
-            (self.rows[n][0], self.rows[n][1]) for n in names
-        ]
+        states = [self.rows[name][:2] for name in names]
+        if whole:
+            # What a whole list does not name is gone.
+            listed = {number for number, _ in states}
+            states += [
+                (n, GONE)
+                for n in range(self.plan.day.tiers[self.tier].upstreams)
+                if n not in listed
+            ]
+        return {"seq": self.seq, "whole": whole, "hosts": rows}, states
 
 
 class Discovery:
@@ -128,8 +105,8 @@
     def begin(self, start):
         self.queue = CallQueue.of(self.plan.day.discovery)
         for tier, catalog in enumerate(self.catalogs):
-            for at, number, name, state, born in changes(self.plan, tier):
-                self.spawn(self.change(start, at, catalog, number, name, state, born))
+            for listing in Timeline.of(self.plan.day, tier).listings:
+                self.spawn(self.change(start, catalog, listing))
         for trouble in self.plan.day.troubles:
             if trouble.what in experiment.OF_DISCOVERY:
                 self.spawn(self.trouble(start, trouble))
@@ -139,13 +116,15 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def change(self, start, at, catalog, number, name, state, born):
-        await self.until(start, at)
+    async def change(self, start, catalog, listing):
+        await self.until(start, listing.at)
         await asyncio.sleep(self.lag)
         # The platform's clock for starts is Unix time.
         unix = time.time() - (time.monotonic_ns() - start) / S
-        catalog.change(number, name, state, None if born is None else int((unix + born) * 1000))
-        self.book.add(events.Happened(time.monotonic_ns(), f"listed {state}", catalog.tier, number))
+        born = None if listing.started_at is None else int((unix + listing.started_at) * 1000)
+        catalog.change(listing.number, listing.host, listing.state, born)
+        what = f"listed {listing.state}"
+        self.book.add(events.Happened(time.monotonic_ns(), what, catalog.tier, listing.number))
 
     async def trouble(self, start, trouble):
         await self.until(start, trouble.at)
--- a/pepperhook/lab/stage.py
+++ b/pepperhook/lab/stage.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from pepperhook.lab import events, experiment, stalls
+from pepperhook.lab import events, experiment, instances, stalls
 from pepperhook.lab.experiment import Plan
 
 S = 10**9
@@ -58,13 +58,11 @@
     for upstream in all_here:
         await upstream.up(plan.day.cold)
     start, ended = await begin()
-    steps = []
-    for trouble in plan.day.troubles:
-        if trouble.what in experiment.OF_UPSTREAMS and trouble.tier == tier:
-            for number, begins, ends in experiment.moments(plan.day, trouble):
-                for at, on in (begins, True), (ends, False):
-                    steps.append((start + int(at * S), all_here[number], trouble, on))
-    play = [asyncio.create_task(step(*row)) for row in steps]
+    play = [asyncio.create_task(step(*row)) for row in steps(plan.day, tier, start, all_here)]
+    play += [
+        asyncio.create_task(follow(start, all_here[row.number], row))
+        for row in instances.Timeline.of(plan.day, tier).steps
+    ]
     play.append(asyncio.create_task(note_stalls(stalls.upstreams(tier), stage.book)))
     while not ended.done():
         await asyncio.wait([ended], timeout=0.5)
@@ -79,11 +77,26 @@
     stage.book.close()
 
 
+def steps(day, tier, start, all_here):
+    """Yield when each trouble of upstreams begins and ends, and for which."""
+    for trouble in day.troubles:
+        if trouble.what in experiment.OF_UPSTREAMS and trouble.tier == tier:
+            for number, begins, ends in experiment.moments(day, trouble):
+                for at, on in (begins, True), (ends, False):
+                    yield start + int(at * S), all_here[number], trouble, on
+
+
 async def step(at, upstream, trouble, on):
     await asyncio.sleep(max(0, at - time.monotonic_ns()) / S)
     await upstream.trouble(trouble, on)
 
 
+async def follow(start, upstream, row):
+    """Let an upstream make a transition of its lifecycle at its time."""
+    await asyncio.sleep(max(0, start / S + row.at - time.monotonic_ns() / S))
+    await upstream.follow(row.transition)
+
+
 async def discovery(plan, folder, begin):
     from pepperhook.lab.discovery import Discovery
 
--- a/pepperhook/lab/upstream.py
+++ b/pepperhook/lab/upstream.py
@@ -10,12 +10,12 @@
 from typing import Any
 
 from pepperhook.lab import chance, events, machine, wire
+from pepperhook.lab.instances import OF_LIFECYCLES, Transition
 from pepperhook.lab.machine import Job
 
 MS, S = 10**6, 10**9
 CHAIN, BACK = b"pepperhook-chain", b"pepperhook-chain-result"
 TRIES = re.compile(rb"tries=(\d+)")
-DRAIN_GRACE_S = 1.0  # from its draining until it turns new work away by itself
 MARGIN_MS = 5  # kept back from the time that is told to the next tier
 NOT_PROCESSED = b"X-Not-Processed: 1\r\n"
 
@@ -177,6 +177,8 @@
         await self.listen()
 
     async def listen(self):
+        if self.servers:
+            return  # another fault has ended within the one that ends now
         loop = asyncio.get_running_loop()
         for caller in range(self.stage.callers):
             address = self.stage.plan.upstream(self.tier, self.number, caller)
@@ -442,19 +444,9 @@
             self.on[what] = trouble
         else:
             self.on.pop(what, None)
-        if what in ("crash", "cold", "replaced"):
-            if on:
-                self.fall()
-            elif self.down:
-                await self.up(cold=True)
-        elif what == "released":
-            # Told to leave, it ends what it has for a while; another under a new name comes up in its place.
-            if on:
-                await asyncio.sleep(trouble.size or 1.0)
-                self.fall()
-            else:
-                await self.up(cold=True)
-        elif what == "unready":
+        if what in OF_LIFECYCLES:
+            return  # its process follows the timeline of the tier
+        if what == "unready":
             # Dead for a moment, then back and not yet fit for service, as it says to probes.
             if on:
                 self.refuse()
@@ -470,14 +462,6 @@
             self.machine.move(now)
             self.machine.crowded = on or self.machine.crowded
             self.arm()
-        elif what == "drain":
-            # What it is told by discovery comes to balancers a little later, so it goes on for the grace.
-            self.fails_checks = on
-            if on:
-                await asyncio.sleep(trouble.size or DRAIN_GRACE_S)
-                self.draining = "drain" in self.on
-            else:
-                self.draining = False
         elif what in ("refused", "unconnectable"):
             if on:
                 self.refuse()
@@ -490,6 +474,17 @@
                 self.fillers = [filler.close() for filler in self.fillers][:0]
                 await self.listen()
 
+    async def follow(self, transition):
+        """Make a transition of the process's lifecycle."""
+        if transition is Transition.END:
+            self.fall()
+        elif transition is Transition.START:
+            await self.up(cold=True)
+        else:
+            # Balancers hear of a drain a little later, so requests are served for the grace.
+            self.fails_checks = transition is not Transition.SERVE
+            self.draining = transition is Transition.REJECT
+
     def refuse(self):
         """Connections are reset and new ones refused; what it worked on goes on."""
         self.deafen()
--- /dev/null
+++ b/tests/lab/test_instances.py
@@ -0,0 +1,141 @@
+"""Which instance each fault of a run is about, in the stand-ins and in the endpoint list."""
+
+import itertools
+import random
+
+import pytest
+
+from pepperhook.lab.instances import OF_LIFECYCLES, Timeline, Transition
+from tests.lab.experiments import EXPERIMENT, read_experiment
+
+NOTICE_S = 1.0  # of the experiment's endpoint list
+DRAIN, REJECT, SERVE = Transition.DRAIN, Transition.REJECT, Transition.SERVE
+END, START = Transition.END, Transition.START
+
+
+def timeline_of(*faults):
+    """Return the timeline of the first tier for rows of (fault, at, for, size)."""
+    tables = "".join(
+        f'[[troubles]]\nwhat = "{what}"\nat = {at}\nfor = {length}\nsize = {size}\nwho = [0]\n'
+        for what, at, length, size in faults
+    )
+    return Timeline.of(read_experiment(EXPERIMENT + tables), 0)
+
+
+def listings_of(*faults):
+    return [(row.at, row.host, row.state) for row in timeline_of(*faults).listings]
+
+
+def test_fault_after_a_replacement_is_about_the_new_instance():
+    # The endpoint list named the first instance for all faults, so nobody heard of this drain.
+    assert listings_of(("replaced", 1, 0.5, 0), ("released", 4, 3, 1)) == [
+        (2, "t0-00", "gone"),
+        (2.5, "t0-00-r1", "ready"),
+        (4, "t0-00-r1", "draining"),
+        (5, "t0-00-r1", "gone"),
+        (8, "t0-00-r4", "ready"),
+    ]
+
+
+def test_drain_after_a_release_is_about_the_new_instance():
+    assert listings_of(("released", 1, 2, 1), ("drain", 5, 2, 1)) == [
+        (1, "t0-00", "draining"),
+        (2, "t0-00", "gone"),
+        (4, "t0-00-r1", "ready"),
+        (5, "t0-00-r1", "draining"),
+        (7, "t0-00-r1", "ready"),
+    ]
+
+
+def test_release_that_begins_within_a_replacement_is_about_nobody():
+    timeline = timeline_of(("replaced", 1, 2, 0), ("released", 2, 3, 1.5))
+
+    assert [(step.at, step.transition) for step in timeline.steps] == [(1, END), (3, START)]
+    assert [(row.at, row.host, row.state) for row in timeline.listings] == [
+        (2, "t0-00", "gone"),
+        (4, "t0-00-r1", "ready"),
+    ]
+
+
+def test_drain_that_outlives_its_instance_ends_with_it():
+    timeline = timeline_of(("drain", 1, 5, 0.5), ("crash", 3, 1.5, 0))
+
+    assert [(step.at, step.transition) for step in timeline.steps] == [
+        (1, DRAIN),
+        (1.5, REJECT),
+        (3, END),
+        (4.5, START),
+    ]
+    assert [(row.at, row.state) for row in timeline.listings] == [
+        (1, "draining"),
+        (4, "gone"),
+        (5.5, "ready"),
+    ]
+
+
+def test_overlapping_drains_end_with_the_last():
+    timeline = timeline_of(("drain", 1, 2, 0.5), ("drain", 2, 3, 0.5))
+
+    assert [(step.at, step.transition) for step in timeline.steps] == [
+        (1, DRAIN),
+        (1.5, REJECT),
+        (2.5, REJECT),
+        (5, SERVE),
+    ]
+    assert [(row.at, row.state) for row in timeline.listings] == [(1, "draining"), (5, "ready")]
+
+
+def test_instance_that_drains_before_its_start_is_noticed_is_listed_as_draining():
+    assert listings_of(("crash", 1, 2, 0), ("drain", 3.5, 3, 1)) == [
+        (2, "t0-00", "gone"),
+        (4, "t0-00", "draining"),
+        (6.5, "t0-00", "ready"),
+    ]
+
+
+def test_release_shorter_than_its_drain_still_ends_the_old_instance_first():
+    # The new process used to begin before the old one had ended, and then ended in its place.
+    timeline = timeline_of(("released", 1, 0.6, 1.5))
+
+    assert [(step.at, step.transition) for step in timeline.steps] == [
+        (1, DRAIN),
+        (2.5, END),
+        (2.6, START),
+    ]
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_drained_instance_is_listed_as_draining_until_it_serves_again_or_ends(seed):
+    chance = random.Random(seed)
+    timeline = timeline_of(
+        *(
+            (
+                chance.choice(OF_LIFECYCLES),
+                round(chance.uniform(0, 20), 2),
+                round(chance.uniform(0.3, 6), 2),
+                round(chance.uniform(0.2, 2), 2),
+            )
+            for _ in range(chance.randint(2, 8))
+        )
+    )
+
+    assert [step.transition for step in timeline.steps if step.transition in (END, START)] == list(
+        itertools.islice(
+            itertools.cycle((END, START)),
+            sum(step.transition in (END, START) for step in timeline.steps),
+        )
+    )
+    latest, started_at = {}, -NOTICE_S
+    moments = sorted(
+        [(step.at, 1, step) for step in timeline.steps]
+        + [(row.at, 0, row) for row in timeline.listings],
+        key=lambda moment: moment[:2],
+    )
+    for at, is_step, row in moments:
+        if not is_step:
+            latest[row.host] = row.state
+        elif row.transition is START:
+            started_at = at
+        elif row.transition is DRAIN and at > started_at + NOTICE_S:
+            [state] = [state for state in latest.values() if state != "gone"] or ["draining"]
+            assert state == "draining"
--- a/tests/lab/test_zones.py
+++ b/tests/lab/test_zones.py
@@ -5,6 +5,7 @@
 from pepperhook import tomlfile
 from pepperhook.lab import discovery, experiment
 from pepperhook.lab.experiment import Plan
+from pepperhook.lab.instances import Timeline
 from pepperhook.lab.network import Network, Relay
 from tests.lab.experiments import make_zoned_experiment
 
@@ -72,9 +73,9 @@
 
 
 def test_released_upstream_drains_is_gone_and_comes_back_under_another_id(plan):
-    changes = [row[:4] for row in discovery.changes(plan, 0) if row[1] == 0]
+    listings = [row for row in Timeline.of(plan.day, 0).listings if row.number == 0]
 
-    assert changes == [
+    assert [(row.at, row.number, row.host, row.state) for row in listings] == [
         (1, 0, "t0-00", "draining"),
         (2.0, 0, "t0-00", "gone"),
         (4.0, 0, "t0-00-r1", "ready"),
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -12,7 +12,6 @@
 from pepperhook.lab import (
     audit,
     baselines,
-    discovery,
     events,
     experiment,
     load,
@@ -21,6 +20,7 @@
     wire,
 )
 from pepperhook.lab.experiment import Experiment, Plan
+from pepperhook.lab.instances import Timeline
 from pepperhook.lab.machine import MS, Job, Machine, S, Spec
 from tests.world import World
 
@@ -258,8 +258,7 @@
 who = [3]
 """)
     rows = [
-        (at, number, state, born)
-        for at, number, _, state, born in discovery.changes(Plan(told, 1, 30), 0)
+        (row.at, row.number, row.state, row.started_at) for row in Timeline.of(told, 0).listings
     ]
     assert rows == [
         (0.5, 2, "draining", None),
