A row of the endpoint list that cannot be read costs its own upstream alone

Balancers that started answered 503 to everything while one registration had a state that is not known, a faulty address or a number out of range, and running ones heard of no change: an odd row cost the whole response, to keep a drain from being lost.

Whole lists without one readable row, and responses that are no list, are refused as before. Each row is counted and logged once until it changes.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -14,7 +14,12 @@
 from pepperhook.server import endpoint_list, http1_client
 from pepperhook.server import extensions as extension_points
 from pepperhook.server.attempt_errors import ConnectFailedError, ConnectionLostError
-from pepperhook.server.endpoint_list import EndpointList, ListedEndpoint, MalformedListError
+from pepperhook.server.endpoint_list import (
+    EndpointList,
+    ListedEndpoint,
+    MalformedListError,
+    UnreadableRow,
+)
 
 if TYPE_CHECKING:
     import aiohttp
@@ -70,6 +75,7 @@
         self.zones = config.names.zones
         self.kinds = config.names.kinds
         self.known: dict[str, Upstream] = {}
+        self.unreadable: dict[str, str] = {}  # upstreams whose rows cannot be read: why
         self.version: int | None = None
         self.tasks: dict[PollKind, asyncio.Task[None]] = {}
         self.ready = False  # whether any list was ever known
@@ -203,31 +209,71 @@
             # it is wanted.
             self.version = None
             raise MalformedListError(f"seq: changes up to {update.version} of an older list")
-        if not update.is_whole and not update.endpoints:
+        self._note_unreadable(update)
+        if not update.is_whole and update.unnamed_reasons:
+            self._apply_without_unnamed(update)
+            return
+        if not update.is_whole and not update.endpoints and not update.unreadable:
             self.version = update.version
             self._confirm()
             return
-        self._report(update)
+        rows = self._rows(update)
+        self.runtime.call_policy(self.runtime.policy.endpoints_changed, update.is_whole, rows)
         self.version = update.version
+        self._after_update(update)
+        if not self.ready:
+            self.log.info("list_known", version=self.version, upstreams=len(self.known))
+        self.ready = True
+
+    def _apply_without_unnamed(self, update: EndpointList) -> None:
+        """Apply the rows that have a name, and let the next poll ask for the whole list.
+
+        Something changed that has no name here, so the changes confirm nothing, and their version
+        is not reached.
+        """
+        rows = self._rows(update)
+        self.runtime.call_policy(self.runtime.policy.endpoints_corrected, rows)
+        self.version = None
+        self._after_update(update)
+
+    def _after_update(self, update: EndpointList) -> None:
         self._log_update(update)
         self._forget_gone()
         for hook in self.extensions.listed:
             hook(self.runtime.now(), self.known.values())
-        if not self.ready:
-            self.log.info("list_known", version=self.version, upstreams=len(self.known))
-        self.ready = True
+
+    def _note_unreadable(self, update: EndpointList) -> None:
+        """Count and log rows that cannot be read, each once until it changes."""
+        before = self.unreadable
+        for row in update.unreadable:
+            if before.get(row.name) != row.reason:
+                self.counters.add("list rows unreadable")
+                self.log.warning("list_row_unreadable", host=row.name, why=row.reason)
+        for reason in update.unnamed_reasons:
+            self.counters.add("list rows unreadable")
+            self.log.warning("list_row_unreadable", why=reason)
+        readable = {listed.name for listed in update.endpoints}
+        kept = {} if update.is_whole else {n: why for n, why in before.items() if n not in readable}
+        self.unreadable = kept | {row.name: row.reason for row in update.unreadable}
 
     def _log_update(self, update: EndpointList) -> None:
         """Log what a list changed, so that a late notification shows in the log."""
         rows = " ".join(f"{listed.name}:{listed.state}" for listed in update.endpoints)
         self.log.debug("list_applied", version=update.version, whole=update.is_whole, rows=rows)
 
-    def _report(self, update: EndpointList) -> None:
+    def _rows(self, update: EndpointList) -> list[EndpointUpdate]:
+        """Return what the policy learns of a list, by way of the extensions."""
         rows = [self._update_upstream(listed) for listed in update.endpoints]
+        rows += [self._hold_back(row) for row in update.unreadable if row.name in self.known]
         for hook in self.extensions.lists:
             rows = hook(rows)
-        policy = self.runtime.policy
-        self.runtime.call_policy(policy.endpoints_changed, update.is_whole, rows)
+        return rows
+
+    def _hold_back(self, row: UnreadableRow) -> EndpointUpdate:
+        """Take an upstream for not ready whose row cannot be read: the row may say so."""
+        upstream = self.known[row.name]
+        state = UpstreamState.GONE if row.is_gone else UpstreamState.DRAINING
+        return EndpointUpdate(upstream, state, upstream.started_at)
 
     def _update_upstream(self, listed: ListedEndpoint) -> EndpointUpdate:
         upstream = self.known.get(listed.name)
--- a/pepperhook/server/endpoint_list.py
+++ b/pepperhook/server/endpoint_list.py
@@ -1,7 +1,7 @@
 """Decodes what the discovery service sends: the whole endpoint list, or the changes to it.
 
-One odd row costs the whole response. A row that cannot be read may be a drain, and a response
-that was taken in part would count as known up to its version, so that drain would never come again.
+A row that cannot be read costs its own upstream alone: it may say that this one drains, so it
+counts as not ready. A row without a readable name is about an unknown upstream.
 """
 
 import json
@@ -39,6 +39,15 @@
     protocol: str | None
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableRow:
+    """A row of which only the name can be read, or that and its state."""
+
+    name: str
+    reason: str
+    is_gone: bool
+
+
 @dataclass(slots=True)
 class EndpointList:
     """One list, or one set of changes."""
@@ -46,6 +55,8 @@
     version: int
     is_whole: bool
     endpoints: list[ListedEndpoint]
+    unreadable: list[UnreadableRow]
+    unnamed_reasons: list[str]  # why rows have no readable name
 
 
 def parse(data: bytes, zones: Mapping[str, int], kinds: Mapping[str, int]) -> EndpointList:
@@ -71,19 +82,44 @@
     is_whole = document.get("whole")
     if not isinstance(is_whole, (bool, int, type(None))):
         raise MalformedListError("whole: true or false is wanted")
-    endpoints = []
-    for number, row in enumerate(document["hosts"]):
-        try:
-            endpoints.append(_decode_row(row, zones, kinds))
-        except ValueError as error:
-            raise MalformedListError(f"hosts[{number}].{error}") from error
-    return EndpointList(version, bool(is_whole), endpoints)
+    decoded = EndpointList(version, bool(is_whole), [], [], [])
+    for row in document["hosts"]:
+        _add_row(decoded, row, zones, kinds)
+    if decoded.is_whole and document["hosts"] and not decoded.endpoints:
+        # Of another format: the list in hand is the better one.
+        reasons = [f"{known.name}: {known.reason}" for known in decoded.unreadable]
+        raise MalformedListError(f"no row can be read: {[*reasons, *decoded.unnamed_reasons][0]}")
+    return decoded
+
+
+def _add_row(
+    decoded: EndpointList, row: object, zones: Mapping[str, int], kinds: Mapping[str, int]
+) -> None:
+    """Add one row to what it is: readable, readable by its name, or neither."""
+    try:
+        name = _name(row)
+    except ValueError as error:
+        decoded.unnamed_reasons.append(str(error))
+        return
+    assert isinstance(row, dict)  # it has a name
+    try:
+        decoded.endpoints.append(_decode_row(name, row, zones, kinds))
+    except ValueError as error:
+        is_gone = row.get("health") == UpstreamState.GONE
+        decoded.unreadable.append(UnreadableRow(name, str(error), is_gone))
 
 
-def _decode_row(row: object, zones: Mapping[str, int], kinds: Mapping[str, int]) -> ListedEndpoint:
-    """Decode one row. Raises ValueError, which names the key."""
+def _name(row: object) -> str:
+    """Return a row's name. Raises ValueError where it has none that can be read."""
     if not isinstance(row, dict):
         raise ValueError("host: a row is wanted")
+    return _text(row, "host")
+
+
+def _decode_row(
+    name: str, row: dict[Any, Any], zones: Mapping[str, int], kinds: Mapping[str, int]
+) -> ListedEndpoint:
+    """Decode the rest of a row. Raises ValueError, which names the key."""
     state = STATES.get(_text(row, "health"))
     if state is None:
         raise ValueError(f"health: {row['health']!r:.40}")
@@ -91,7 +127,7 @@
     if state is not UpstreamState.GONE and not _is_address(address):
         raise ValueError(f"dial: an address HOST:PORT is wanted, not {address!r:.60}")
     return ListedEndpoint(
-        name=_text(row, "host"),
+        name=name,
         address=address,
         zone=zones.get(_optional_text(row, "site") or "", 0),
         kind=kinds.get(_optional_text(row, "class") or "", 0),
