Settings: an effect that is no word, and numbers beyond 64 bits, are refused

`"effect": []` ended a start by a traceback (a list as the key of a map), and times were checked before their conversion to nanoseconds, so that 10**18 us was accepted and did not fit what captures and journals store.

--- a/pepperhook/settings.py
+++ b/pepperhook/settings.py
@@ -9,7 +9,7 @@
 from pepperhook.errors import PepperhookError
 from pepperhook.units import MICROSECOND, MILLISECOND, SECOND
 
-MAX_NUMBER = 2**62
+MAX_NUMBER = 2**62  # in our unit: captures and journals store 64 bits
 EFFECTS = {
     "idempotent": Effect.SAFE,
     "deduplicated": Effect.KEYED,
@@ -219,6 +219,8 @@
     for wanted in ("timeLimitUs", "effect"):
         expect(row.get(wanted) is not None, f"{key}.{wanted}", "is missing")
     limit = number(f"{key}.timeLimitUs", row["timeLimitUs"], MICROSECOND)
+    effect = row["effect"]
+    expect(isinstance(effect, str), f"{key}.effect", f"a word is wanted, not {effect!r:.40}")
     repeat_group = choice(f"{key}.group", row.get("group", "all"), RepeatGroup)
     default_objective = limit / MICROSECOND
     objective = row.get("goalTimeUs", default_objective)
@@ -226,7 +228,7 @@
         number=at,
         time_limit_ns=limit,
         objective_ns=number(f"{key}.goalTimeUs", objective, MICROSECOND),
-        effect=EFFECTS.get(row["effect"], Effect.UNSAFE),
+        effect=EFFECTS.get(effect, Effect.UNSAFE),
         repeat_group=repeat_group,
         key_window_ns=number(f"{key}.keyTtlUs", row.get("keyTtlUs", 0), MICROSECOND),
         priority_weight=number(f"{key}.earnings", row.get("earnings", 1.0)),
@@ -297,9 +299,9 @@
     """Check a number from zero up, and convert it to our unit."""
     is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
     expect(
-        is_number and 0 <= value < MAX_NUMBER,
+        is_number and 0 <= value * factor < MAX_NUMBER,
         key,
-        f"a number from zero up is wanted, not {value!r:.40}",
+        f"a number from zero up to {MAX_NUMBER / factor:.3g} is wanted, not {value!r:.40}",
     )
     return round(value * factor) if factor != 1 else value
 
