A reload that fails half way leaves the old discovery service in force

SIGHUP with another discovery service ended the old service's polls before the client of the new one was made: an error there left a balancer that polled nobody. The client is made first, and any error of a reload is logged as reload_refused.

test_old_service_stays_in_force_if_the_move_fails fails on the code before.

--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -38,10 +38,12 @@
     """Read the configuration again, and keep the one in force where that is faulty."""
     try:
         replaced = config.read(os.environ, again=True)
+        app.reload(replaced)
     except config.ConfigError as error:
         log.error("reload_refused", error=error)
-        return
-    app.reload(replaced)
+    except Exception:
+        # What is in force stays so, whatever fails.
+        log.exception("reload_refused")
 
 
 def load_extensions(
--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -88,8 +88,8 @@
 
     def _open(self, address: Address) -> None:
         host, port = address
-        self.url = f"http://{host}:{port}/catalog/members"
         self.session = http1_client.make_session(limit=MAX_CONNECTIONS)
+        self.url = f"http://{host}:{port}/catalog/members"
 
     def move(self, address: Address) -> None:
         """Poll another service from now on.
@@ -99,14 +99,15 @@
         """
         if self.is_closed:
             return  # this process is shutting down, and needs no list any more
+        old_session = self.session
+        self._open(address)  # all that can fail, before anything changes
         for task in self.tasks.values():
             task.cancel()
         self.tasks.clear()
-        task = self.runtime.loop.create_task(self.session.close())
-        self.closing.add(task)
-        task.add_done_callback(self.closing.discard)
+        closing = self.runtime.loop.create_task(old_session.close())
+        self.closing.add(closing)
+        closing.add_done_callback(self.closing.discard)
         self.version = None
-        self._open(address)
         self.runtime.call_policy(self.runtime.policy.endpoint_service_moved)
 
     def start_watch(self, wait_ns: int) -> None:
--- a/tests/server/test_endpoint_service_change.py
+++ b/tests/server/test_endpoint_service_change.py
@@ -1,7 +1,9 @@
 """A configuration is reloaded that names another service of the endpoint list."""
 
 import asyncio
+import dataclasses
 
+from pepperhook import __main__ as program
 from pepperhook.server import endpoint_discovery
 from tests.server.balancers import (
     ENVIRONMENT,
@@ -22,6 +24,10 @@
     return make_response(body=encode_endpoint_list(version, endpoint_rows(addresses)))
 
 
+def fail(*_, **__):
+    raise RuntimeError("not foreseen")
+
+
 def is_watch(head):
     return b"since" in request_target(head)
 
@@ -137,3 +143,22 @@
         ):
             await asyncio.sleep(0.01)
         assert balancer.policy.endpoints.is_watching
+
+
+async def test_old_service_stays_in_force_if_the_move_fails(monkeypatch):
+    # Against a reload that is in force by half: the old polls ended, and no new ones.
+    async with ScriptedPeer(always(list_response(1, ["127.0.0.1:9"]))) as service:
+        balancer = RunningBalancer(discovery=service.address, env=RARELY_POLLING)
+        async with balancer:
+            await wait_until(lambda: balancer.app.discovery.ready)
+            discovery = balancer.app.discovery
+            before = discovery.url, discovery.session, discovery.version, dict(discovery.tasks)
+            replaced = dataclasses.replace(balancer.app.config, discovery=("127.0.0.1", 9))
+            monkeypatch.setattr(program.config, "read", lambda *_, **__: replaced)
+            monkeypatch.setattr(endpoint_discovery.http1_client, "make_session", fail)
+
+            program.reload(balancer.app, balancer.app.log)
+
+            after = discovery.url, discovery.session, discovery.version, dict(discovery.tasks)
+            assert after == before
+            assert not any(task.cancelling() for task in discovery.tasks.values())
