A version of the configuration is put into force whole, or rejected

A document with a number that cannot be used was in force by half and counted as running: neither applied nor rejected, never told to the service, and no such version taken again. VersionApplier.apply set `running` first and raised OverflowError on the way.

All that a version changes is now made before anything does; where putting it into force fails, what was in force is put back, and the version is rejected with its reason. `running` changes last.

--- a/pepperhook/control_plane/version_applier.py
+++ b/pepperhook/control_plane/version_applier.py
@@ -1,7 +1,9 @@
 """Applies versions to a running balancer: verifies and checks each before it is in force."""
 
+from __future__ import annotations
+
 from collections.abc import Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from msgspec import Struct
@@ -24,9 +26,11 @@
     violations_on_balancer,
 )
 from pepperhook.control_plane.version import ForgedVersionError, Version, verify_version
+from pepperhook.errors import PepperhookError
 from pepperhook.key_ring import KeyRing
 from pepperhook.server.config import Config
 from pepperhook.server.structured_logging import Log
+from pepperhook.settings import Settings
 
 RATE_LIMITS = "customers"  # name of the extension whose settings a document may change
 
@@ -47,6 +51,24 @@
     outdated: int = 0
 
 
+class NotApplicableError(PepperhookError):
+    """A version that passed all checks could not be put into force."""
+
+
+class PolicyFaultError(PepperhookError):
+    """The policy failed in a call."""
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedVersion:
+    """All that a version changes; ``limits`` is None where no rate limits are on."""
+
+    version: Version | None
+    document: Document
+    settings: Settings
+    limits: Any  # the extension's own record of what it enforces
+
+
 class VersionApplier:
     """Owns the version in force and tells the policy of it.
 
@@ -116,7 +138,11 @@
         if standing:
             self._reject(version, describe(standing))
             return False
-        self.apply(version, document)
+        try:
+            self.apply(version, document)
+        except NotApplicableError as error:
+            self._reject(version, f"cannot be applied: {error}")
+            return False
         self.counters.applied += 1
         self.rejection = None
         self._log.info(
@@ -141,7 +167,11 @@
             reasons = "; ".join(f"{one.key}: {one.reason}" for one in mandatory)
             self._log.warning("last_good_unusable", error=reasons)
             return
-        self.apply(version, document)
+        try:
+            self.apply(version, document)
+        except NotApplicableError as error:
+            self._log.warning("last_good_unusable", error=error)
+            return
         self._log.info("last_good_loaded", version=version.number)
 
     def _reject(self, version: Version, reason: str) -> None:
@@ -159,31 +189,76 @@
         )
 
     def apply(self, version: Version, document: Document) -> None:
-        """Put a version into force, unchecked."""
-        self.running = version
-        self.document = document
+        """Put a version into force, unchecked: all of it, or nothing.
+
+        Raises NotApplicableError where that fails; what was in force before is so again.
+        """
+        try:
+            prepared = self._prepare(version, document)
+            before = self._in_force()
+        except Exception as error:
+            raise NotApplicableError(f"{type(error).__name__}: {error}") from error
+        try:
+            self._put_into_force(prepared)
+        except Exception as error:
+            self._go_back(before)
+            raise NotApplicableError(f"{type(error).__name__}: {error}") from error
+
+    def _prepare(self, version: Version | None, document: Document) -> PreparedVersion:
+        """Make all that a version changes, before anything does."""
         rate_limits = self.extensions.get(RATE_LIMITS)
+        limits = None
         if rate_limits is not None:
-            rate_limits.reconfigure(document.extensions.rate_limits)
-        core = self._node.runtime
-        rows = self.endpoints.rows_to_correct(document)
+            limits = rate_limits.prepare(document.extensions.rate_limits)
+        return PreparedVersion(version, document, self._settings(document), limits)
+
+    def _in_force(self) -> PreparedVersion:
+        rate_limits = self.extensions.get(RATE_LIMITS)
+        limits = None if rate_limits is None else rate_limits.limits
+        return PreparedVersion(self.running, self.document, self._settings(self.document), limits)
+
+    def _put_into_force(self, prepared: PreparedVersion) -> None:
+        if prepared.limits is not None:
+            self.extensions[RATE_LIMITS].limits = prepared.limits
+        rows = self.endpoints.rows_to_correct(prepared.document)
+        policy = self._node.runtime.policy
         if rows:
-            core.call_policy(core.policy.endpoints_corrected, rows)
-        self.update_policy()
+            self._call_policy(policy.endpoints_corrected, rows)
+        self._reconfigure(prepared.settings, prepared.document)
+        self.running = prepared.version
+        self.document = prepared.document
 
-    def update_policy(self) -> None:
-        """Give the policy its settings and weights by the document and the position in force."""
-        settings = build_settings(self.document, self._start_settings, self._config.names)
+    def _go_back(self, before: PreparedVersion) -> None:
+        try:
+            self._put_into_force(before)
+        except Exception:
+            # The policy fails with what it had, too, which its own log lines tell.
+            self._log.exception("version_not_restored")
+
+    def _call_policy(self, call: Any, *arguments: Any) -> None:
+        if not self._node.runtime.call_policy(call, *arguments):
+            raise PolicyFaultError(f"the policy failed in {call.__name__}")
+
+    def _settings(self, document: Document) -> Settings:
+        settings = build_settings(document, self._start_settings, self._config.names)
         if self.position is not None and self.position.index is not None:
             settings = with_fleet_position(settings, self.position.index, self.position.count)
+        return settings
+
+    def _reconfigure(self, settings: Settings, document: Document) -> None:
         weights = [
-            (upstream, weight_of(upstream, self.document))
-            for upstream in self.endpoints.upstreams()
+            (upstream, weight_of(upstream, document)) for upstream in self.endpoints.upstreams()
         ]
-        core = self._node.runtime
-        core.call_policy(core.policy.reconfigure, settings, weights)
+        self._call_policy(self._node.runtime.policy.reconfigure, settings, weights)
         self._node.ingress.update_settings()
 
+    def update_policy(self) -> None:
+        """Give the policy its settings and weights by the document and the position in force."""
+        try:
+            self._reconfigure(self._settings(self.document), self.document)
+        except PolicyFaultError as error:
+            self._log.warning("policy_not_updated", error=error)
+
     def correct_weights(self, upstreams: list[Any]) -> None:
         """Update the policy if it has other weights than the document says."""
         if self.document.upstreams and any(
--- a/pepperhook/rate_limit/extension.py
+++ b/pepperhook/rate_limit/extension.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from pepperhook.rate_limit.errors import UnknownTenantError
@@ -22,6 +23,14 @@
 UNKNOWN_TENANT = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class EnforcedLimits:
+    """The limits in force, or those that may come into force."""
+
+    limiter: RateLimiter
+    spread: float  # of the advised delay, as a fraction of it
+
+
 class RateLimitExtension:
     """The extension; it stores a bucket for each tenant of the settings, and one more."""
 
@@ -40,26 +49,30 @@
         )
         self._seed = config.seed
         self._draws = 0
-        self._apply(table)
+        self.limits = self.prepare(table)
 
-    def reconfigure(self, table: RateLimitTable | None) -> None:
-        """Apply other limits, or with None those of the start. Raises UnknownTenantError.
+    def prepare(self, table: RateLimitTable | None) -> EnforcedLimits:
+        """Return other limits, or with None those of the start, with full buckets.
 
-        The buckets are full again, as after a start.
+        Nothing changes yet. Raises UnknownTenantError.
         """
-        self._apply(table or self._start_table)
-
-    def _apply(self, table: RateLimitTable) -> None:
+        if table is None:
+            table = self._start_table
         for name in table.each:
             if name not in self._tenant_names:
                 raise UnknownTenantError(name, self._tenant_names)
         limits = [table.each.get(name, table.default) for name in self._tenant_names]
-        self.limiter = RateLimiter(
+        limiter = RateLimiter(
             [_rate_limit(limit) for limit in limits],
             _rate_limit(table.unknown),
             1 / max(1, self._fleet_size) if table.of == "fleet" else 1.0,
         )
-        self._spread = table.spread
+        return EnforcedLimits(limiter, table.spread)
+
+    @property
+    def limiter(self) -> RateLimiter:
+        """The limits' buckets."""
+        return self.limits.limiter
 
     def arrived(
         self, now: int, request: Request, _message: RequestMessage | None
@@ -76,7 +89,7 @@
         # Draws of its own: taken from the policy's, a limit would change the policy's decisions.
         self._draws += 1
         fraction = random_fraction(b"quotas %d %d" % (self._seed, self._draws))
-        return min(int(wait_ns * (1 + self._spread * fraction)), self._max_retry_after_ns)
+        return min(int(wait_ns * (1 + self.limits.spread * fraction)), self._max_retry_after_ns)
 
     def told(self) -> dict[str, Any]:
         """Return the counters for the operator."""
--- a/pepperhook/server/runtime.py
+++ b/pepperhook/server/runtime.py
@@ -79,11 +79,16 @@
         worst, measured_at = self.worst_lateness
         return int(worst * 0.5 ** ((self.now() - measured_at) / LATENESS_HALF_LIFE_NS))
 
-    def call_policy(self, call: Callable[..., list[actions.Action]], *arguments: Any) -> None:
-        """Make one call to the policy and carry out its actions, in their order."""
+    def call_policy(self, call: Callable[..., list[actions.Action]], *arguments: Any) -> bool:
+        """Make one call to the policy and carry out its actions, in their order.
+
+        Returns whether the policy made it without a fault.
+        """
+        is_sound = True
         try:
             results = call(self.now(), *arguments)
         except Exception:
+            is_sound = False
             # What it had decided before it failed is kept, or requests would hang on it.
             results = self.policy.actions
             self.policy.actions = []
@@ -91,6 +96,7 @@
             self.log.exception("module_fault", call=call.__name__)
         for action in results:
             self._carry_out(action)
+        return is_sound
 
     def _carry_out(self, action: actions.Action) -> None:
         match action:
--- a/tests/rate_limit/test_extension.py
+++ b/tests/rate_limit/test_extension.py
@@ -67,7 +67,7 @@
     limiter = extension.limiter
 
     with pytest.raises(UnknownTenantError):
-        extension.reconfigure(RateLimitTable(each={"nobody": TenantLimit(per_second=1.0)}))
+        extension.prepare(RateLimitTable(each={"nobody": TenantLimit(per_second=1.0)}))
 
     assert extension.limiter is limiter
 
