A record with an odd address no longer ends the gossip of who hears it

A signed PING whose sender's address is "a\0b", or a text that IDNA refuses, closed the socket of whoever answered it, for good and without a log line: sendto raises inside asyncio's transport, which closes itself.

Addresses of records are IP literals, checked when they are decoded; names in the operator's file are resolved, those of seeds beside the event loop; and the socket is background work under the supervisor, logged, counted and opened again with backoff when it closes by itself.

24 of the new cases of test_datagram fail on the code before. test_supervision has the socket among the long-lived tasks and closes one.

--- a/pepperhook/membership/datagram.py
+++ b/pepperhook/membership/datagram.py
@@ -17,6 +17,7 @@
 
 from pepperhook.errors import PepperhookError
 from pepperhook.key_ring import KeyRing
+from pepperhook.membership.addresses import is_valid_address
 from pepperhook.membership.messages import MemberRecord, Message, MessageType
 
 MAGIC = b"PG1"
@@ -25,7 +26,6 @@
 HEADER_BYTES = len(MAGIC) + KEY_LENGTH_BYTES
 MAX_DATAGRAM_BYTES = 1400  # whole in one packet on any Ethernet
 MAX_NAME_LENGTH = 64
-MAX_PORT = 65535
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Message)
 
@@ -64,7 +64,10 @@
     Raises InvalidDatagramError.
     """
     message = _decode_payload(_verified_payload(data, keys))
-    if not all(map(_is_valid, [message.sender, *message.updates])):
+    records = [message.sender, *message.updates]
+    if isinstance(message.payload, MemberRecord):
+        records.append(message.payload)
+    if not all(map(_is_valid, records)):
         raise InvalidDatagramError("an invalid record of a member")
     return message
 
@@ -102,4 +105,5 @@
 
 
 def _is_valid(record: MemberRecord) -> bool:
-    return 0 < len(record.name) <= MAX_NAME_LENGTH and 0 < record.address[1] <= MAX_PORT
+    # A datagram to what is no literal would close the socket, or wait for a resolver.
+    return 0 < len(record.name) <= MAX_NAME_LENGTH and is_valid_address(record.address)
--- a/pepperhook/membership/extension.py
+++ b/pepperhook/membership/extension.py
@@ -1,12 +1,15 @@
 """Runs the membership protocol in a balancer: one datagram socket, one timer, and log lines."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import asdict, replace
 from typing import Any, cast
 
+from pepperhook.errors import PepperhookError
 from pepperhook.key_ring import KeyRing
+from pepperhook.membership.addresses import family_of, is_valid_address, resolve
 from pepperhook.membership.counters import DatagramCounters
 from pepperhook.membership.datagram import (
     DatagramTooLargeError,
@@ -23,6 +26,7 @@
 from pepperhook.server import config
 
 PROBE_TIMEOUT_SHARE = 0.3  # of a probe period
+RESOLVE_INTERVAL_S = 10.0  # between looks for the addresses of seeds that have none yet
 LEAVE_DELAY_S = 0.05  # for the announcement to go out, before the socket is closed
 MIN_TIMER_S = 0.001
 REJECTIONS_LOGGED = (1, 10, 100, 1000)  # or a flood of datagrams would be one of log lines
@@ -30,6 +34,10 @@
 SLOW_MEMBER_FACTOR = 3
 
 
+class SocketClosedError(PepperhookError):
+    """The socket was closed, though nobody here closed it."""
+
+
 class Gossip(asyncio.DatagramProtocol):
     """The extension. The ``operator_file`` log line names it by its class.
 
@@ -44,13 +52,16 @@
         self.platform = platform
         self.log = log
         self.keys = KeyRing([(key.id, key.secret) for key in settings.keys])
-        self.listen: Address = config.parse_address("gossip.listen", settings.listen)
+        self.listen = _resolved_listen(settings.listen)
+        seeds = [
+            config.parse_address(f"gossip.seeds[{index}]", seed)
+            for index, seed in enumerate(settings.seeds)
+        ]
+        # Resolved off the event loop, which a resolver would hold up.
+        self.named_seeds = [seed for seed in seeds if not is_valid_address(seed)]
         self.protocol = SwimProtocol(
             self._local_record(),
-            [
-                config.parse_address(f"gossip.seeds[{index}]", seed)
-                for index, seed in enumerate(settings.seeds)
-            ],
+            [seed for seed in seeds if is_valid_address(seed)],
             platform.seed,
             self.now(),
             protocol_settings(settings),
@@ -68,6 +79,9 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.open_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._closed: asyncio.Future[None] | None = None  # done when the socket is
+        self._was_open = False
+        self._is_leaving = False
         self._table_version = 0
 
     @staticmethod
@@ -91,10 +105,11 @@
     def started(self, node: Any) -> None:
         """Open the socket, as the balancer is up."""
         self.node = node
-        self.open_task = node.runtime.loop.create_task(self._open())
+        self.open_task = node.runtime.supervisor.start("gossip socket", self._keep_open)
 
     async def left(self) -> None:
         """Announce that this balancer leaves, and close the socket."""
+        self._is_leaving = True
         if self._timer is not None:
             self._timer.cancel()
         if self.transport is not None:
@@ -119,23 +134,60 @@
 
     # Datagrams.
 
-    async def _open(self) -> None:
+    async def _keep_open(self) -> None:
+        """Open the socket, and return when it is closed at the end of this balancer.
+
+        Raises OSError where it cannot be opened again, and SocketClosedError where it was closed by
+        anything else: the supervisor begins this again then.
+        """
+        await self._resolve_seeds()
         listen = "{}:{}".format(*self.listen)
+        loop = asyncio.get_running_loop()
+        closed = self._closed = loop.create_future()
         try:
-            await asyncio.get_running_loop().create_datagram_endpoint(
-                lambda: self, local_addr=self.listen
-            )
+            await loop.create_datagram_endpoint(lambda: self, local_addr=self.listen)
         except OSError as error:
             # A balancer serves without a view of the others, too, by its settings' fleet size.
             self.log.error("gossip_disabled", listen=listen, error=error.strerror or error)
+            if self._was_open:
+                raise
             return
+        self._was_open = True
         self.log.info("gossip_started", listen=listen, seeds=len(self.protocol.seeds))
         self._run_due()
+        while self.named_seeds and not closed.done():
+            await asyncio.wait([closed], timeout=RESOLVE_INTERVAL_S)
+            await self._resolve_seeds()
+        await closed
+
+    async def _resolve_seeds(self) -> None:
+        """Find the addresses of seeds that the operator's file has by names."""
+        loop = asyncio.get_running_loop()
+        for seed in list(self.named_seeds):
+            host, port = seed
+            try:
+                rows = await loop.getaddrinfo(
+                    host, port, family=family_of(self.listen[0]), type=socket.SOCK_DGRAM
+                )
+            except (OSError, ValueError) as error:
+                self.log.warning("gossip_seed_unknown", host=host, error=error)
+                continue
+            self.named_seeds.remove(seed)
+            self.protocol.add_seed((str(rows[0][4][0]), port))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket's transport."""
         self.transport = cast(asyncio.DatagramTransport, transport)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Have the socket opened again, unless this balancer leaves."""
+        if self._closed is None or self._closed.done():
+            return
+        if self._is_leaving:
+            self._closed.set_result(None)
+        else:
+            self._closed.set_exception(SocketClosedError(f"closed by itself: {exc!r}"))
+
     def error_received(self, exc: Exception) -> None:
         """Ignore that an earlier datagram reached nobody: its probe times out."""
 
@@ -166,7 +218,7 @@
             self._send_message(item.address, item.message)
 
     def _send_message(self, address: Address, message: Message) -> None:
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             return
         try:
             data = encode(message, self.keys)
@@ -235,6 +287,15 @@
         self.node.runtime.call_policy(self.node.runtime.policy.reconfigure, settings, [])
 
 
+def _resolved_listen(text: str) -> Address:
+    """Return this member's own address, as others are told it. Raises ConfigError."""
+    address = config.parse_address("gossip.listen", text)
+    try:
+        return resolve(address)
+    except (OSError, ValueError) as error:
+        raise config.ConfigError(f"gossip.listen: {text!r:.60}: {error}") from error
+
+
 def protocol_settings(settings: MembershipTable) -> ProtocolSettings:
     """Return the protocol's timing by the operator's settings."""
     return ProtocolSettings(
--- a/pepperhook/membership/protocol.py
+++ b/pepperhook/membership/protocol.py
@@ -197,6 +197,11 @@
         if self.probe.member.record.name == current.name:
             self.probe = None
 
+    def add_seed(self, address: Address) -> None:
+        """Find other members through one more address."""
+        if address != self.table.local.address and address not in self.seeds:
+            self.seeds.append(address)
+
     def _rejoin(self, now: int) -> list[Outgoing]:
         """Compare tables with a lost member or a seed.
 
--- a/tests/membership/test_datagram.py
+++ b/tests/membership/test_datagram.py
@@ -87,6 +87,40 @@
         decode(encode(message, KEYS), KEYS)
 
 
+ODD_HOSTS = [
+    "a\0b",
+    "a" * 64 + ".b",
+    "\ud7ff",
+    "127.0.0.1\0",
+    "peer.example",
+    "",
+    "1.2.3",
+    "fe80::1%lo",
+]
+IN_PLACES = {
+    "sender": lambda odd: Message(MessageType.PING, 1, odd),
+    "update": lambda odd: Message(MessageType.PING, 1, record(), updates=[odd]),
+    "target": lambda odd: Message(MessageType.PING_REQ, 1, record(), "b", odd),
+}
+
+
+@pytest.mark.parametrize("place", IN_PLACES)
+@pytest.mark.parametrize("host", ODD_HOSTS, ids=ascii)
+def test_a_record_whose_address_is_no_ip_literal_is_rejected(host, place):
+    # Against a record that closes the socket of whoever answers it, or waits for a resolver.
+    message = IN_PLACES[place](record(address=(host, 7946)))
+
+    with pytest.raises(InvalidDatagramError, match="invalid record"):
+        decode(encode(message, KEYS), KEYS)
+
+
+@pytest.mark.parametrize("host", ["10.1.2.3", "::1", "2001:db8::7"])
+def test_a_record_whose_address_is_an_ip_literal_is_taken(host):
+    message = Message(MessageType.PING, 1, record(address=(host, 7946)))
+
+    assert decode(encode(message, KEYS), KEYS) == message
+
+
 def test_a_message_that_does_not_fit_a_packet_is_not_encoded():
     updates = [record(f"n{number}") for number in range(200)]
     message = Message(MessageType.PING, 1, record(), "b", None, updates)
--- a/tests/membership/test_extension.py
+++ b/tests/membership/test_extension.py
@@ -11,6 +11,7 @@
 
 from pepperhook import operator_config
 from pepperhook.cli import main
+from pepperhook.membership import extension as extension_module
 from pepperhook.membership.datagram import encode
 from pepperhook.membership.extension import Gossip
 from pepperhook.membership.messages import MemberRecord, MemberState, Message, MessageType
@@ -141,6 +142,41 @@
         assert fleet.all_agree()
 
 
+@loopback
+async def test_seeds_that_are_host_names_are_found_beside_the_event_loop(monkeypatch):
+    monkeypatch.setattr(extension_module, "RESOLVE_INTERVAL_S", 0.05)
+    ports = [free_port(), free_port()]
+    first, second = (make_extension(number, ports) for number in range(2))
+    looked_up = []
+
+    async def look_up(host, port, **_):
+        looked_up.append(host)
+        if len(looked_up) < 3:
+            raise socket.gaierror("not known yet")
+        return [(socket.AF_INET, socket.SOCK_DGRAM, 0, "", ("127.0.0.1", port))]
+
+    second.protocol.seeds.clear()
+    second.named_seeds = [("first.example", ports[0])]
+    monkeypatch.setattr(asyncio.get_running_loop(), "getaddrinfo", look_up)
+    async with (
+        Running(["127.0.0.1:9"], Extensions([first]), alone=False),
+        Running(["127.0.0.1:9"], Extensions([second]), alone=False),
+    ):
+        await until(lambda: second.protocol.table.present_names() == ["b0", "b1"])
+
+    assert looked_up == ["first.example"] * 3
+
+
+@pytest.mark.parametrize("host", ["no such host", "a" * 64, "\ud7ff.example"])
+def test_an_own_address_that_is_no_host_is_refused_by_its_key(host):
+    table = MembershipTable(
+        listen=f"{host}:7946", seeds=["127.0.0.1:1"], keys=[SigningKey("k1", SECRET)]
+    )
+
+    with pytest.raises(ValueError, match="gossip.listen"):
+        Gossip(table, told(), LOG)
+
+
 @loopback
 async def test_a_port_that_is_taken_leaves_the_balancer_serving_by_its_settings():
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
--- a/tests/server/test_supervision.py
+++ b/tests/server/test_supervision.py
@@ -21,6 +21,7 @@
 from pepperhook.control_plane.service import ControlService
 from pepperhook.control_plane.stream_client import StreamClient
 from pepperhook.idempotency import peers
+from pepperhook.membership.extension import Gossip
 from pepperhook.membership.protocol import SwimProtocol
 from pepperhook.operator_config.schema import CaptureTable
 from pepperhook.server import supervision
@@ -116,6 +117,7 @@
     "control heartbeats": (control, Control, "_settle_position"),
     "idempotency peers": (idempotency, peers.Peers, "_poll_members"),
     "gossip": (gossip, SwimProtocol, "tick"),
+    "gossip socket": (gossip, Gossip, "_resolve_seeds"),
 }
 
 
@@ -152,6 +154,23 @@
     assert started == set(LONG_LIVED)
 
 
+@pytest.mark.usefixtures("short_restarts")
+async def test_gossip_goes_on_after_its_socket_was_closed_by_itself():
+    # Against a view of the fleet that stays as it was for the rest of a process's life.
+    extension = make_gossip(0, [free_port(), free_port()])
+    async with RunningBalancer(
+        ["127.0.0.1:9"], Extensions([extension]), owns_event_loop=False
+    ) as balancer:
+        await until(lambda: extension.transport is not None)
+        first = extension.transport
+        first.sendto(b"x", ("a\0b", 9))  # the transport closes itself over a TypeError
+        await until(lambda: extension.transport is not first)
+        sent = extension.counters.datagrams_out
+        await until(lambda: extension.counters.datagrams_out > sent)
+
+        assert balancer.counters["background faults"] == 1
+
+
 @pytest.mark.usefixtures("short_restarts")
 async def test_control_service_survives_an_error_that_nobody_foresaw(tmp_path, monkeypatch):
     monkeypatch.setattr("pepperhook.control_plane.service.TICK_INTERVAL_S", 0.01)
