--- a/pepperhook/control_plane/document.py
+++ b/pepperhook/control_plane/document.py
@@ -12,9 +12,13 @@
 
 from pepperhook import tomlfile
 from pepperhook.errors import PepperhookError
-from pepperhook.operator_config.schema import Above0, RateLimitTable, Share
+from pepperhook.operator_config.schema import RateLimitTable, Share
 
-From0 = Annotated[float, Meta(ge=0)]
+# As far as a deployment's own settings go, whose unit is a microsecond.
+Milliseconds = Annotated[float, Meta(ge=0, le=4.6e12)]
+PositiveMilliseconds = Annotated[float, Meta(ge=0.001, le=4.6e12)]
+Weight = Annotated[float, Meta(ge=0, le=4.6e18)]
+RatePerSecond = Annotated[float, Meta(ge=0, le=4.6e18)]
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
 
 EMPTY_DOCUMENT: dict[str, Any] = {"version": 1}  # changes nothing
@@ -35,12 +39,12 @@
 class ServiceClassOverride(Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
     """Overrides for one service class; times in milliseconds."""
 
-    time_limit_ms: Above0 | None = None
-    latency_objective_ms: Above0 | None = field(default=None, name="goal_ms")
-    priority_weight: From0 | None = field(default=None, name="earnings")
-    late_priority_weight: From0 | None = field(default=None, name="late_earnings")
+    time_limit_ms: PositiveMilliseconds | None = None
+    latency_objective_ms: PositiveMilliseconds | None = field(default=None, name="goal_ms")
+    priority_weight: Weight | None = field(default=None, name="earnings")
+    late_priority_weight: Weight | None = field(default=None, name="late_earnings")
     effect: Effect | None = None
-    key_ttl_ms: From0 | None = None
+    key_ttl_ms: Milliseconds | None = None
     group: Literal["all", "zone", "cell"] | None = None
 
 
@@ -48,7 +52,7 @@
     """Overrides for one tenant."""
 
     share: Share | None = None
-    quota_per_s: From0 | None = None
+    quota_per_s: RatePerSecond | None = None
 
 
 class UpstreamOverride(Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
@@ -65,7 +69,7 @@
         default=None, name="most_dispatches"
     )
     may_send_retry_after: bool | None = field(default=None, name="advice")
-    max_retry_after_ms: From0 | None = field(default=None, name="longest_advice_ms")
+    max_retry_after_ms: Milliseconds | None = field(default=None, name="longest_advice_ms")
     # Factor on the priority weight of what exceeds a tenant's share.
     excess_priority_factor: Share | None = field(default=None, name="excess_earnings")
 
--- a/pepperhook/operator_config/schema.py
+++ b/pepperhook/operator_config/schema.py
@@ -14,8 +14,16 @@
 
 from pepperhook.errors import PepperhookError
 
-Above0 = Annotated[float, Meta(gt=0)]
+# Bounds are what a key can mean: times fit into 64 bits of nanoseconds beside a date, as journals
+# store them, and amounts into what a machine has. Infinity and NaN are outside of all.
 Share = Annotated[float, Meta(ge=0, le=1)]
+RatePerSecond = Annotated[float, Meta(ge=1e-9, le=1e9)]
+Burst = Annotated[float, Meta(ge=1, le=1e9)]
+Count = Annotated[int, Meta(ge=1, le=10**9)]
+Seconds = Annotated[float, Meta(ge=0, le=1e9)]
+SegmentSeconds = Annotated[float, Meta(ge=1, le=1e7)]
+Minutes = Annotated[float, Meta(ge=1e-6, le=1e7)]
+Megabytes = Annotated[float, Meta(ge=1e-6, le=1e9)]
 
 
 class ParentPatternError(PepperhookError, ValueError):
@@ -37,9 +45,9 @@
 class TenantLimit(Struct, frozen=True, forbid_unknown_fields=True):
     """The rate limit of one tenant."""
 
-    per_second: Above0
+    per_second: RatePerSecond
     # Requests at once; None: a second's worth, at least one.
-    burst: Annotated[float, Meta(ge=1)] | None = None
+    burst: Burst | None = None
 
 
 class RateLimitTable(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -82,18 +90,16 @@
 class IdempotencyTable(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Idempotency keys: a repeated request is answered from the result of the first."""
 
-    max_entries: Annotated[int, Meta(ge=1)] = field(default=100_000, name="entries")
-    max_mb: Above0 = field(default=64.0, name="mb")  # of entries with their stored responses
-    max_waiters_per_key: Annotated[int, Meta(ge=1)] = field(default=1000, name="waiters")
+    max_entries: Count = field(default=100_000, name="entries")
+    max_mb: Megabytes = field(default=64.0, name="mb")  # of entries with their stored responses
+    max_waiters_per_key: Count = field(default=1000, name="waiters")
     # Of a response; a larger one is not stored.
     max_body_kb: Annotated[int, Meta(ge=0, le=64)] = field(default=64, name="body_kb")
     # For how long a key of an unsafe class counts; 0: keys are ignored.
-    unsafe_window_s: Annotated[float, Meta(ge=0)] = field(default=600.0, name="binding_s")
+    unsafe_window_s: Seconds = field(default=600.0, name="binding_s")
     # The same of safe classes; keyed ones have that of the settings.
-    safe_window_s: Annotated[float, Meta(ge=0)] = field(default=10.0, name="retriable_s")
-    window_by_class_s: dict[str, Annotated[float, Meta(ge=0)]] = field(
-        default_factory=dict, name="window_s"
-    )
+    safe_window_s: Seconds = field(default=10.0, name="retriable_s")
+    window_by_class_s: dict[str, Seconds] = field(default_factory=dict, name="window_s")
     classes_with_required_key: list[str] = field(default_factory=list, name="require")
     # Cancel an unsafe attempt that no client waits for; else it may still answer a repeat.
     cancels_unsafe: bool = field(default=False, name="call_off_binding")
@@ -105,9 +111,9 @@
     """Captures of all calls of the policy and their results, for exact replay."""
 
     folder: str  # of the ring's segments, and of those that were kept
-    minutes: Above0 = 10.0  # that the ring holds
-    segment_s: Annotated[float, Meta(ge=1)] = 60.0  # each begins with a state to replay from
-    mb: Above0 = 256.0  # that the ring takes on disk
+    minutes: Minutes = 10.0  # that the ring holds
+    segment_s: SegmentSeconds = 60.0  # each begins with a state to replay from
+    mb: Megabytes = 256.0  # that the ring takes on disk
 
 
 class TraceTable(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -118,9 +124,9 @@
 
     folder: str  # of the ring's files, and of those that were kept
     sampled_fraction: Share = field(default=0.01, name="share")  # of requests served in time, by id
-    minutes: Above0 = 60.0  # that the ring holds
-    segment_s: Annotated[float, Meta(ge=1)] = 300.0  # a file each
-    mb: Above0 = 256.0  # that the ring takes on disk
+    minutes: Minutes = 60.0  # that the ring holds
+    segment_s: SegmentSeconds = 300.0  # a file each
+    mb: Megabytes = 256.0  # that the ring takes on disk
     # Regular expression; its group is the id of the request that a call was made for.
     parent_pattern: str | None = field(default=None, name="parent")
 
