The soak sees how a balancer closes connections as it leaves

At each planned restart 20 resting connections send their next request within 60 ms of SIGTERM, also behind an end that is on its way, and one HTTP/2 connection begins: a reset, no answer, or no GOAWAY within 0.3 s is a problem. Half of the runs have lists with a row that cannot be read. Each line tells what was excused; stalls of stand-ins that excuse over three requests in a thousand make a run void.

--- a/pepperhook/cli/lab_soak.py
+++ b/pepperhook/cli/lab_soak.py
@@ -84,6 +84,9 @@
 
 def _line(verdict: "Verdict", seconds: int, plant: str | None) -> str:
     played = " ".join(f"{key}={value}" for key, value in verdict.played.items())
+    if verdict.excused:
+        told = ", ".join(f"{count} {name}" for name, count in verdict.excused.items())
+        played += f" excused: {told}"
     if verdict.void:
         return f"seed {verdict.seed}: void: {verdict.void}"
     if verdict.holds:
--- a/pepperhook/lab/audit.py
+++ b/pepperhook/lab/audit.py
@@ -23,6 +23,7 @@
 COLD_NS = 4 * S  # after a cold start, in which what it is sent is counted
 MOST_TAKEN = 2  # further tries that an operation takes down the chain from where it comes in
 PROBES_NS = 3 * S  # between two probes that belong to one spell
+STAMPED_LATE = "first byte stamped late by a stand-in that stood still"
 WINDOW = 10  # seconds of the worst stretch
 
 
@@ -347,7 +348,7 @@
             if told_ready(rows, latest, latest, grace):
                 continue
             if told_ready(rows, earliest, latest, grace):
-                self.excused["first byte stamped late by a stand-in that stood still"] += 1
+                self.excused[STAMPED_LATE] += 1
                 continue
             before = [row for row in rows if row.at < latest]
             self.find(
--- a/pepperhook/lab/discovery.py
+++ b/pepperhook/lab/discovery.py
@@ -15,6 +15,7 @@
 from pepperhook.lab.instances import GONE, READY, Timeline, host_name
 
 S = 10**9
+ODD_ROW = {"host": "odd", "dial": "127.0.0.1:9", "health": "warming"}
 
 
 class Catalog:
@@ -60,6 +61,8 @@
                     "born_ms": born,
                 }
             )
+        if self.plan.day.discovery.odd_rows and rows:
+            rows.append(ODD_ROW)
         states = [self.rows[name][:2] for name in names]
         if whole:
             # What a whole list does not name is gone.
--- a/pepperhook/lab/experiment.py
+++ b/pepperhook/lab/experiment.py
@@ -153,6 +153,7 @@
     timeout_s: Above0 = 2.0  # a call that has waited so long for its answer is answered 503
     retry_after_s: Annotated[int, Meta(ge=0, le=3600)] = 0  # in each 503; 0: not there
     longest_watch_s: Above0 | None = None  # long polls end by then, whatever they ask for
+    odd_rows: bool = False  # each answer has one more row, in a state that balancers do not know
 
 
 class Trouble(Struct, forbid_unknown_fields=True, kw_only=True):
--- a/pepperhook/lab/planted.py
+++ b/pepperhook/lab/planted.py
@@ -5,6 +5,7 @@
 from pepperhook import __main__ as program
 from pepperhook.domain import Outcome, UpstreamState
 
+DRAIN_LATE_S = 8.0
 RELOAD_PAUSE_S = 0.5  # of the planted reload that is lost
 
 
@@ -436,6 +437,48 @@
     app.BalancerApp.shut_down = shut_down
 
 
+def goaway_for_present_only():
+    """GOAWAY goes only to the HTTP/2 connections that are there at SIGTERM."""
+    from pepperhook.http2.server import ServerConnection
+
+    ServerConnection._announce_shutdown = lambda _: None
+
+
+def drain_heard_late():
+    """What the endpoint list says of a drain is heard 8 s later."""
+    from pepperhook.server.endpoint_discovery import EndpointDiscovery
+
+    plain = EndpointDiscovery._update_upstream
+
+    def update_upstream(self, listed):
+        update = plain(self, listed)
+        if listed.state is not UpstreamState.DRAINING:
+            return update
+
+        def hear():
+            self.runtime.call_policy(self.runtime.policy.endpoints_corrected, [update])
+
+        self.runtime.loop.call_later(DRAIN_LATE_S, hear)
+        return update._replace(state=UpstreamState.READY)
+
+    EndpointDiscovery._update_upstream = update_upstream
+
+
+def odd_row_costs_list():
+    """A row of the endpoint list that cannot be read costs the whole response."""
+    from pepperhook.server import endpoint_list
+
+    plain = endpoint_list.decode
+
+    def decode(document, zones, kinds):
+        decoded = plain(document, zones, kinds)
+        if decoded.unreadable or decoded.unnamed_reasons:
+            raise endpoint_list.MalformedListError("an odd row")
+        return decoded
+
+    endpoint_list.decode = decode
+
+
 def reload_lost():
     """A request to read the configuration again is lost where one was read a moment before."""
     import time
@@ -608,6 +651,9 @@
     "ends-at-once": ends_at_once,
     "descriptor-leaked": descriptor_leaked,
     "resting-dropped": resting_dropped,
+    "goaway-for-present-only": goaway_for_present_only,
+    "drain-heard-late": drain_heard_late,
+    "odd-row-costs-list": odd_row_costs_list,
     "reload-lost": reload_lost,
     "clock-read": clock_read,
     "set-order": set_order,
--- a/pepperhook/lab/soak/draw.py
+++ b/pepperhook/lab/soak/draw.py
@@ -28,6 +28,7 @@
 STARTING_MS = (400.0, 1200.0)
 SECOND_TIER_CHANCE = 0.3
 FAULTY_FILE_CHANCE = 0.5
+ODD_ROWS_CHANCE = 0.5
 # Faults with the sizes that they are drawn from; None: they have no size.
 FAULTS: dict[str, tuple[float, float] | None] = {
     "crash": None,
@@ -122,7 +123,7 @@
             leave=rng.choice((0.0, 0.2, 0.5)),
         ),
         front=Front(notice_s=FRONT_NOTICE_S),
-        discovery=Discovery(),
+        discovery=Discovery(odd_rows=_has_odd_rows(seed)),
         troubles=_draw_faults(rng, seconds, len(tiers)),
     )
     balancers = tiers[0].balancers
@@ -140,6 +141,11 @@
     )
 
 
+def _has_odd_rows(seed: int) -> bool:
+    """Draw apart from the rest, which stays as it is for each seed."""
+    return random.Random(f"soak {seed} odd rows").random() < ODD_ROWS_CHANCE
+
+
 def _draw_tiers(rng: random.Random) -> list[Tier]:
     def machine() -> Spec:
         return Spec(cores=rng.choice((1.0, 2.0, 4.0)), idle_close_s=IDLE_CLOSE_S)
--- a/pepperhook/lab/soak/judge.py
+++ b/pepperhook/lab/soak/judge.py
@@ -7,12 +7,14 @@
 
 from msgspec import Struct
 
+from pepperhook.lab.audit import STAMPED_LATE
 from pepperhook.lab.soak.play import Problem, SoakDay
 from pepperhook.lab.soak.resources import Resources
 from pepperhook.server.app import CONNECTION_KB, PROCESS_MB, SocketBudget
 
 # A poll of the endpoint list may be just ending while the next begins.
 SPARE = 2
+MAX_EXCUSED_SHARE = 0.003  # of the requests; beyond, the stand-ins stood still too often to judge
 KB_PER_MB = 1024
 RELOAD = re.compile(r"event=reload(?:ed|_refused) .*")
 LAST_FILE = "wait_for_a_restart=sockets"  # what the log says of the file that comes last
@@ -29,6 +31,7 @@
     problems: dict[str, list[str]]
     played: dict[str, Any]
     folder: str = ""
+    excused: dict[str, int] = {}  # what the auditor excused, and how often
 
 
 def judge(day: SoakDay, result: dict[str, Any]) -> Verdict:
@@ -44,13 +47,18 @@
         void = (
             f"{wait['who']} waited {wait['worst_ms']} ms for a core, {wait['stolen']:.0%} was taken"
         )
+    requests = result["figures"].get("tries", 0)
+    excused = result["excused"]
+    if excused.get(STAMPED_LATE, 0) > MAX_EXCUSED_SHARE * requests:
+        void = f"excused too often: {STAMPED_LATE}, {excused[STAMPED_LATE]} of {requests}"
     return Verdict(
         seed=day.run.seed,
         holds=not problems,
         void=void,
-        requests=result["figures"].get("tries", 0),
+        requests=requests,
         problems=problems,
         played=_played(day),
+        excused=excused,
     )
 
 
@@ -61,6 +69,7 @@
         "clients": run.experiment.clients.protocol,
         "faults": [trouble.what for trouble in run.experiment.troubles],
         "restarts": len(run.restarts),
+        "odd_rows": run.experiment.discovery.odd_rows,
         "signals": sum(len(series.names) for series in run.signals),
         "crowd": 0 if run.crowd is None else run.crowd.clients,
     }
--- a/pepperhook/lab/soak/play.py
+++ b/pepperhook/lab/soak/play.py
@@ -14,6 +14,7 @@
 from pepperhook.lab import day as days
 from pepperhook.lab.soak.crowd import IdleClients
 from pepperhook.lab.soak.draw import IDLE_CLOSE_S, Restart, SignalSeries, SoakRun
+from pepperhook.lab.soak.leaving_clients import RestingClients, begin_http2
 from pepperhook.lab.soak.resources import Resources, measure
 
 KILL_AFTER_S = 0.7  # beyond the longest deadline, after SIGTERM: the platform's earliest
@@ -22,7 +23,9 @@
 # and clients' connections linger for a second or two when they are closed.
 QUIET_S = 2 * IDLE_CLOSE_S + 2.0
 SETTLE_S = 0.3  # for an answer to SIGUSR1
+AFTER_CROWD_S = 1.0  # in which what a crowd held is closed
 MS_PER_S = 1000
+S = 10**9
 
 Problem = tuple[str, str]  # its name, and an example
 
@@ -92,10 +95,16 @@
 
     def _restart(self, balancer: Any, restart: Restart) -> None:
         longest_s = max(grade.time_limit_ms for grade in self.day.grades) / MS_PER_S
+        address = self.plan.balancer(0, balancer.number)
+        # Where a crowd holds the connections, some are closed for room.
+        resting = None if self.is_crowded else RestingClients(address)
         if restart.has_signals_before:
             _send_both(balancer)
         balancer.send(signal.SIGTERM)
-        killed_at = time.monotonic() + longest_s + KILL_AFTER_S
+        told_at = time.monotonic()
+        killed_at = told_at + longest_s + KILL_AFTER_S
+        if resting is not None:
+            self.spawn(lambda: self._send_while_it_leaves(resting, address, told_at))
         if restart.leaving_ms is not None:
             time.sleep(restart.leaving_ms / MS_PER_S)
             _send_both(balancer)
@@ -115,6 +124,21 @@
         self._wait_ready(balancer)
         self.restarted.discard(balancer.number)
 
+    def _send_while_it_leaves(
+        self, resting: RestingClients, address: tuple[str, int], told_at: float
+    ) -> None:
+        where = "balancer {}:{}, ".format(*address)
+        for name, example in [*resting.send(told_at), *begin_http2(address, told_at)]:
+            self.problem(name, where + example)
+        resting.close()
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether idle clients hold connections, or did so a moment ago."""
+        crowd = self.run.crowd
+        now_s = time.monotonic() - self.start / S
+        return crowd is not None and crowd.at <= now_s <= crowd.at + crowd.for_s + AFTER_CROWD_S
+
     def _wait_ready(self, balancer: Any) -> None:
         import asyncio
 
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -2,11 +2,13 @@
 
 import json
 import os
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
 from pepperhook.lab import experiment, planted
+from pepperhook.lab.audit import STAMPED_LATE
 from pepperhook.lab.soak import judge, run
 from pepperhook.lab.soak.draw import MAX_FAULTS, MIN_FAULTS, draw
 from pepperhook.lab.soak.judge import Verdict, compare, memory_bound_mb
@@ -146,6 +148,27 @@
 
 
 def test_faults_that_the_soak_must_find_can_be_planted():
-    assert {"ends-at-once", "descriptor-leaked", "resting-dropped", "reload-lost"} <= set(
-        planted.FAULTS
-    )
+    assert {
+        "ends-at-once",
+        "descriptor-leaked",
+        "resting-dropped",
+        "reload-lost",
+        "goaway-for-present-only",
+        "drain-heard-late",
+        "odd-row-costs-list",
+    } <= set(planted.FAULTS)
+
+
+def test_run_in_which_stalls_excuse_too_much_is_void():
+    def judged(excused):
+        day = SimpleNamespace(
+            run=draw(1, 30.0), problems=[], after={}, balancers={}, last_series={}
+        )
+        figures = {"tries": 1000}
+        result = {"findings": [], "void": False, "figures": figures, "excused": excused}
+        return judge.judge(day, result)
+
+    few, many = judged({STAMPED_LATE: 3}), judged({STAMPED_LATE: 4})
+
+    assert few.holds and not few.void and few.excused == {STAMPED_LATE: 3}
+    assert "excused too often" in many.void
