Block control signals for the whole life of a serving process

Callers and operators saw: a balancer that had answered everything ended, rarely, with -10 or -15; `pepperhook run` and `control serve` could be ended by a signal while they start; signals in a series without a pause kept a leaving balancer from ending.

Cause: handlers were exchanged one after the other, with the default action in force between remove_signal_handler and SIG_IGN, and again when the event loop closes; each signal of a series was a callback of its own.

Why this works: a blocked signal has no action that could be met. All threads inherit the mask from the first instruction on, one thread receives the signals by sigwait and calls their callbacks in the event loop; a signal whose callback has not begun is merged with the earlier.

--- a/pepperhook/__main__.py
+++ b/pepperhook/__main__.py
@@ -3,31 +3,27 @@
 ``LB_OPERATOR`` names an operator's file; without it, no extension is imported.
 """
 
-import signal
-
-
-def ignore_early_signals() -> None:
-    """Ignore the signals to reload and to log, which end a process that has no handlers yet."""
-    for number in (signal.SIGHUP, signal.SIGUSR1):
-        signal.signal(number, signal.SIG_IGN)
-
+from pepperhook.server.process_signals import block_signals
 
 if __name__ == "__main__":
     # Before the other imports, which take half a second: a rolling reload that only checks that the
     # process exists may send its signal in that time.
-    ignore_early_signals()
+    block_signals()
 
 # The imports below follow the call above on purpose.
 import asyncio  # noqa: E402
 import gc  # noqa: E402
 import os  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 from collections.abc import Callable, Mapping  # noqa: E402
+from functools import partial  # noqa: E402
 from typing import Any  # noqa: E402
 
 from pepperhook.balancer import Balancer  # noqa: E402
 from pepperhook.server import config, extensions, structured_logging  # noqa: E402
 from pepperhook.server.app import BalancerApp  # noqa: E402
+from pepperhook.server.process_signals import SignalCallback, SignalListener  # noqa: E402
 
 EXIT_OK = 0
 EXIT_NO_SOCKET = 1
@@ -59,36 +55,28 @@
     return operator_config.build(path, read_config, log)
 
 
-def ignore_late_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """Ignore signals from now on: all requests are answered, and the process is about to end.
+async def serve(read_config: config.Config, log: structured_logging.Log, **options: Any) -> None:
+    """Run a balancer until SIGTERM or SIGINT; ``options``: more arguments of BalancerApp.
 
-    The event loop restores the default handlers when it closes. Another SIGTERM, or a SIGHUP,
-    would then end the process as if it had crashed.
+    The control signals must be blocked.
     """
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
-        loop.remove_signal_handler(number)
-        signal.signal(number, signal.SIG_IGN)
-
-
-async def serve(read_config: config.Config, log: structured_logging.Log, **options: Any) -> None:
-    """Run a balancer until SIGTERM or SIGINT; ``options``: more arguments of BalancerApp."""
     stop = asyncio.Event()
     app = BalancerApp(read_config, log, **options)
-    loop = app.runtime.loop
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, app.log_state)
     await app.start()
-    loop.add_signal_handler(signal.SIGHUP, reload, app, log)
+    callbacks: dict[signal.Signals, SignalCallback] = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+        signal.SIGUSR1: app.log_state,
+        signal.SIGHUP: partial(reload, app, log),
+    }
+    SignalListener(app.runtime.loop, callbacks).start()
     await stop.wait()
     await app.shut_down()
-    ignore_late_signals(loop)
 
 
 def main(policy_factory: Callable[..., Any] = Balancer) -> int:
     """Run a balancer; return the exit code."""
     log = structured_logging.start()
-    ignore_early_signals()
     try:
         read_config = config.read(os.environ)
         loaded = load_extensions(os.environ, read_config, log)
@@ -99,6 +87,7 @@
         return EXIT_BAD_CONFIG
     # The objects created so far live as long as the process; collecting them would delay responses.
     gc.freeze()
+    block_signals()  # for a caller that has not done so at its start
     try:
         asyncio.run(serve(read_config, log, extensions=loaded, policy_factory=policy_factory))
     except OSError as error:
--- a/pepperhook/cli/__main__.py
+++ b/pepperhook/cli/__main__.py
@@ -1,5 +1,5 @@
 """Runs the command line as ``python -m pepperhook.cli``."""
 
-from pepperhook.cli import main
+from pepperhook.command_line import main
 
 main()
--- a/pepperhook/cli/control.py
+++ b/pepperhook/cli/control.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 import secrets
+import signal
 import sys
 import time
 from typing import TYPE_CHECKING, Any
@@ -27,6 +29,7 @@
     exit_with,
     print_json,
 )
+from pepperhook.server.process_signals import SignalCallback, SignalListener, block_signals
 
 if TYPE_CHECKING:
     from pepperhook.control_plane.service import ControlService
@@ -112,8 +115,16 @@
 
     from pepperhook.control_plane.http_api import create_app
 
+    block_signals()
+    loop = asyncio.new_event_loop()
+    callbacks: dict[signal.Signals, SignalCallback] = dict.fromkeys(
+        (signal.SIGTERM, signal.SIGINT), _end_serving
+    )
+    SignalListener(loop, callbacks).start()
     web.run_app(
         create_app(service),
+        loop=loop,
+        handle_signals=False,
         host=host,
         port=port,
         print=lambda *_: click.echo(ready_message, err=True),
@@ -121,6 +132,12 @@
     )
 
 
+def _end_serving() -> None:
+    from aiohttp import web
+
+    raise web.GracefulExit
+
+
 @control.command()
 @FILE_ARGUMENT
 @SERVICE_OPTION
--- a/pepperhook/lab/balancer.py
+++ b/pepperhook/lab/balancer.py
@@ -3,11 +3,16 @@
 Usage: ``python -m pepperhook.lab.balancer MODULE KEY=NUMBER ...``.
 """
 
-import sys
-from functools import partial
+from pepperhook.server.process_signals import block_signals
 
-from pepperhook import __main__ as program
-from pepperhook.lab import baselines
+if __name__ == "__main__":
+    block_signals()  # before the other imports, as in pepperhook.__main__
+
+import sys  # noqa: E402
+from functools import partial  # noqa: E402
+
+from pepperhook import __main__ as program  # noqa: E402
+from pepperhook.lab import baselines  # noqa: E402
 
 
 def main(arguments):
--- a/pepperhook/lab/defects.py
+++ b/pepperhook/lab/defects.py
@@ -3,10 +3,15 @@
 A scenario that is played with one of its defects must fail, which shows that its checks detect it.
 """
 
-import sys
+from pepperhook.server.process_signals import block_signals
 
-from pepperhook import __main__ as program
-from pepperhook.domain import Outcome, UpstreamState
+if __name__ == "__main__":
+    block_signals()  # before the other imports, as in pepperhook.__main__
+
+import sys  # noqa: E402
+
+from pepperhook import __main__ as program  # noqa: E402
+from pepperhook.domain import Outcome, UpstreamState  # noqa: E402
 
 DRAIN_DELAY_S = 8.0  # of drain-heard-late
 RELOAD_PAUSE_S = 0.5  # of reload-lost: a reload requested this soon after another is ignored
--- a/pepperhook/lab/faulty_balancers.py
+++ b/pepperhook/lab/faulty_balancers.py
@@ -12,6 +12,7 @@
 import sys
 
 from pepperhook.lab import http1, random_draws
+from pepperhook.server.process_signals import SignalListener, block_signals
 
 # Kind of fault: the finding that the auditor must report.
 FINDINGS_BY_FAULT = {
@@ -97,7 +98,7 @@
         server = await asyncio.start_server(self.serve, *self.listen)
         watch_task = asyncio.create_task(self.watch())
         stop = asyncio.Event()
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+        SignalListener(asyncio.get_running_loop(), {signal.SIGTERM: stop.set}).start()
         await stop.wait()
         server.close()
         watch_task.cancel()
@@ -226,4 +227,5 @@
 
 
 if __name__ == "__main__":
+    block_signals()
     asyncio.run(FaultyBalancer(sys.argv[1], os.environ).run())
--- a/tests/server/test_process.py
+++ b/tests/server/test_process.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from tests.programs import free_port, start_program, write_config
 from tests.server.balancers import (
     RunningBalancer,
@@ -14,6 +16,7 @@
 from tests.server.peers import ScriptedPeer, always, make_response, request_target
 
 EXIT_TIMEOUT_S = 60
+PROCESSES = 5
 WITH_64_DESCRIPTORS = (
     "import os, resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)); "
     "os.execv(sys.executable, [sys.executable, '-B', '-m', 'pepperhook'])"
@@ -121,3 +124,40 @@
 
     await balancer.read_rest_of_log()
     assert balancer.process.returncode == 0
+
+
+# Runs the balancer with pauses where the event loop and the interpreter end, which are the moments
+# at which asyncio and Python restore the default actions of signals.
+WITH_PAUSES_AT_THE_END = """
+import asyncio, atexit, functools, runpy, time
+def pause(function):
+    @functools.wraps(function)
+    def paused(*arguments):
+        try:
+            return function(*arguments)
+        finally:
+            time.sleep(0.02)
+    return paused
+loop_type = asyncio.SelectorEventLoop
+loop_type.remove_signal_handler = pause(loop_type.remove_signal_handler)
+loop_type.close = pause(loop_type.close)
+atexit.register(time.sleep, 0.05)
+runpy.run_module("pepperhook", run_name="__main__")
+"""
+
+
+@pytest.mark.parametrize("arguments", [(), ("-c", WITH_PAUSES_AT_THE_END)])
+async def test_no_signal_during_a_shutdown_meets_its_default_action(tmp_path, arguments):
+    # SIGUSR1 between the removal of its handler and the next one ended a balancer with -10.
+    for _ in range(PROCESSES):
+        balancer = BalancerProcess(write_config(tmp_path), *arguments)
+        await balancer.wait_for_event("started")
+        balancer.signal(signal.SIGTERM)
+        log_reader = asyncio.create_task(balancer.read_rest_of_log())
+        while not log_reader.done():
+            balancer.signal(signal.SIGUSR1, signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+            await asyncio.sleep(0)
+
+        log = log_reader.result()
+        assert balancer.process.returncode == 0
+        assert "event=ended" in log
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -39,6 +39,36 @@
     assert "pepperhook: configuration" in completed.stderr
 
 
+# Sends the process a signal at the first import of the command line that is not of its entry point.
+SIGNAL_IN_COMMAND = """
+import os, sys
+from pepperhook import command_line
+class Signals:
+    def find_spec(self, name, *_):
+        if name in ("click", "asyncio"):
+            os.kill(os.getpid(), {number})
+sys.meta_path.insert(0, Signals())
+sys.argv = ["pepperhook", *{words}]
+command_line.main()
+"""
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM])
+@pytest.mark.parametrize(
+    "words", [["run"], ["control", "serve", "--keys", "none", "--store", "none"]]
+)
+def test_a_signal_during_the_imports_of_a_serving_command_does_not_end_it(tmp_path, number, words):
+    # Only python -m pepperhook was protected, not the command that does the same.
+    completed = subprocess.run(
+        [sys.executable, "-c", SIGNAL_IN_COMMAND.format(number=int(number), words=words)],
+        env={**os.environ, "LB_CONFIG": str(tmp_path / "none")},
+        capture_output=True,
+        text=True,
+    )
+
+    assert completed.returncode == 2, completed.stderr
+
+
 def test_without_an_operators_file_neither_its_package_nor_msgspec_is_imported():
     completed = subprocess.run(
         [sys.executable, "-c", LIST_LOADED_MODULES], capture_output=True, text=True, check=True
