Lab: a client that sends a request again passes on what is left of its time limit

No caller of the product: the lab's client.

Cause: a request on a kept connection whose balancer is killed is sent again on a new one, with the whole time limit in its header and its send time set anew, while the client's own timer runs on from the first sending. So the balancer may take longer than the client waits, and the client's giving up counts as a lost response.

The second sending carries what is left, its row keeps the first send time, and nothing is sent again when no millisecond is left. The exchange no longer keeps the encoded message.

--- a/pepperhook/lab/http1.py
+++ b/pepperhook/lab/http1.py
@@ -202,9 +202,8 @@
         self.connecting = set()
 
     def send_request(self, exchange, method, path, headers, body):
-        """Send a request; its encoded form stays in ``exchange.data`` for a repetition."""
-        exchange.data = encode_request(method, path, headers, body)
-        self.send(exchange, exchange.data)
+        """Send a request."""
+        self.send(exchange, encode_request(method, path, headers, body))
 
     def send(self, exchange, data):
         """Send an encoded request on an idle connection, or else on a new one."""
--- a/pepperhook/lab/http2.py
+++ b/pepperhook/lab/http2.py
@@ -120,13 +120,9 @@
         self.connections, self.selections = [], 0
 
     def send_request(self, exchange, method, path, headers, body):
-        """Send a request; its parts stay in ``exchange.data`` for a repetition."""
-        exchange.connection, exchange.is_on_new_connection, exchange.data = (
-            None,
-            False,
-            (method, path, headers, body),
-        )
-        self.send(exchange, exchange.data)
+        """Send a request."""
+        exchange.connection, exchange.is_on_new_connection = None, False
+        self.send(exchange, (method, path, headers, body))
 
     def send(self, exchange, data):
         """Send a request on the next connection in turn.
--- a/pepperhook/lab/load_generator.py
+++ b/pepperhook/lab/load_generator.py
@@ -187,7 +187,7 @@
         "is_on_new_connection",  # its connection was opened for it
         "has_ended",  # its row has been written
         "timer",
-        "data",
+        "other_headers",  # all but the request's id and its time limit
         "was_resent",
         "leaves_early",
         "future",
@@ -197,8 +197,6 @@
         "copies_at_end",
     )
 
-    data: bytes  # the message as sent, kept for sending it again on a new connection
-
     def __init__(
         self,
         load,
@@ -242,11 +240,7 @@
         """Send the request and start its timer."""
         load = self.load
         load.open_count += 1
-        path, method = load.targets[self.service_class]
-        headers = [
-            (b"X-Request-ID", self.id.encode()),
-            (b"X-Timeout-Ms", b"%d" % (self.limit_ns // NS_PER_MS)),
-        ]
+        headers = self.other_headers = []
         if self.tenant >= 0:
             headers.append((b"X-Tenant-Id", load.tenant_names[self.tenant]))
         if self.number:
@@ -271,11 +265,23 @@
             self.leaves_early = True
             patience_ns = self.limit_ns * draw / leave / 3
         self.timer = load.loop.call_later(patience_ns / NS_PER_S, self.on_timeout)
+        self._send(self.limit_ns)
+
+    def _send(self, remaining_ns):
+        """Send the request with what is left of its time limit."""
+        load = self.load
+        path, method = load.targets[self.service_class]
+        headers = [
+            (b"X-Request-ID", self.id.encode()),
+            (b"X-Timeout-Ms", b"%d" % (remaining_ns // NS_PER_MS)),
+            *self.other_headers,
+        ]
         self.pool.send_request(self, method, path, headers, load.bodies[self.service_class])
 
     def on_connected(self):
-        """Set the send time: the client's time limit counts from sending, after connecting."""
-        self.sent_at = time.monotonic_ns()
+        """Set the send time: the time limit counts from the first sending, after connecting."""
+        if not self.was_resent:
+            self.sent_at = time.monotonic_ns()
 
     def on_response(self, status, body, headers):
         """Record a response; retry one that isn't 200."""
@@ -287,12 +293,14 @@
 
     def on_lost(self, why, unread=False):
         """Record a broken connection; ``unread``: it broke before any byte of the response."""
-        if unread and not self.is_on_new_connection and not self.was_resent:
+        remaining_ns = self.limit_ns - (time.monotonic_ns() - self.sent_at)
+        may_resend = unread and not self.is_on_new_connection and not self.was_resent
+        if may_resend and remaining_ns >= NS_PER_MS:
             # The balancer closed the kept connection while the request was sent: resend it once on
             # a new connection.
             self.was_resent = True
             self.pool.idle.clear()
-            self.pool.send(self, self.data)
+            self._send(remaining_ns)
             return
         self.finish("lost", 0, "", why)
         load = self.load
