Membership: a refutation is sent at once, and poor local health delays no updates

Cause: a refutation, as any update, travelled on the member's own probes and on answers to those of others. A stall sets the worst local health, which makes its probes nine times rarer: the one that has to be heard is made silent. A suspected member also heard of it only from whoever happened to probe it.

Change: a refutation is sent at once to up to 64 members; in each base period without a probe pending updates are sent to one member, whatever the local health; the accuser notifies the suspect. The messages are ACKs of sequence 0, which members of earlier versions take as they took those of a leaving member. member_suspected and suspicion_ended are logged.

--- a/pepperhook/membership/extension.py
+++ b/pepperhook/membership/extension.py
@@ -18,7 +18,13 @@
     encode,
 )
 from pepperhook.membership.fleet_position import FleetPosition
-from pepperhook.membership.messages import Address, MemberRecord, Message, Outgoing
+from pepperhook.membership.messages import (
+    Address,
+    MemberRecord,
+    MemberState,
+    Message,
+    Outgoing,
+)
 from pepperhook.membership.protocol import SwimProtocol
 from pepperhook.membership.rate_limit import SenderRateLimiter
 from pepperhook.membership.settings import NS_PER_MS, NS_PER_S, ProtocolSettings
@@ -69,6 +75,7 @@
             self.now(),
             protocol_settings(settings),
         )
+        self.protocol.view.listeners.append(self._log_suspicion)
         self.position = FleetPosition(
             platform.name,
             platform.settings.fleet_size,
@@ -282,6 +289,18 @@
             state = "left" if name in self.position.departed else "lost"
             self.log.info("member", name=name, state=state)
 
+    def _log_suspicion(self, previous: MemberRecord, current: MemberRecord) -> None:
+        """Log that a member became suspect, or was lost or refuted after that; a view listener."""
+        if MemberState.SUSPECT not in (previous.state, current.state):
+            return
+        fields = {"name": current.name, "incarnation": current.incarnation}
+        if current.state == MemberState.SUSPECT:
+            # Only the first accuser is known here; the others confirm later.
+            accusers = self.protocol.view.suspicions.accusers_of(current.name)
+            self.log.info("member_suspected", **fields, accuser=",".join(accusers))
+        else:
+            self.log.info("suspicion_ended", **fields, state=current.state.name.lower())
+
     def _apply_position(self) -> None:
         """Reconfigure the policy with this position; replaced if a control plane is enabled."""
         settings = replace(
--- a/pepperhook/membership/protocol.py
+++ b/pepperhook/membership/protocol.py
@@ -9,7 +9,10 @@
 answers.
 
 From Lifeguard (Dadgar, Phillips, Currey, 2017): the local health multiplier, negative answers of
-helpers, and suspicions that shorten as more members confirm them.
+helpers, and suspicions that shorten as more members confirm them. Poor local health makes probes
+rarer, but not dissemination: in each period without a probe a member still sends its pending
+updates, and a refutation is sent at once, since the member that is suspected is often the one whose
+health is poor.
 
 Beyond both papers: a process that was itself stalled drops its open probes, as their timeouts
 passed while it did not run; records in which two tables differ are found by digests and exchanged
@@ -41,6 +44,7 @@
 # If a tick is late by more probe periods than this, the process must have been stalled.
 STALL_PERIODS = 1.5
 MAX_JOIN_CONTACTS = 8  # seeds or lost members contacted at once while nobody is present
+MAX_REFUTATION_RECIPIENTS = 64  # to which a refutation is sent directly
 
 
 @dataclass(slots=True)
@@ -82,6 +86,7 @@
         self.probe: Probe | None = None
         # A random point of the first period, so that the members do not all probe at the same time.
         self.next_period_ns = now + self.random.below(settings.probe_period_ns)
+        self.next_dissemination_ns = self.next_period_ns + settings.probe_period_ns
         self._last_rejoin_ns = now - settings.rejoin_interval_ns
         self._handlers: dict[MessageType, Callable[[int, Message], list[Outgoing]]] = {
             MessageType.PING: self._on_ping,
@@ -97,6 +102,11 @@
 
     def next_deadline(self) -> int:
         """Return the time at which ``tick`` must be called."""
+        if len(self.view.dissemination) > 0:
+            return min(self._next_timeout(), self.next_dissemination_ns)
+        return self._next_timeout()
+
+    def _next_timeout(self) -> int:
         deadlines = [self.next_period_ns]
         deadlines += self.relay.deadlines()
         deadlines += self.view.suspicions.deadlines()
@@ -106,7 +116,7 @@
 
     def tick(self, now: int) -> list[Outgoing]:
         """Process all timeouts that are due, and begin a probe period if it is time."""
-        late_ns = now - self.next_deadline()
+        late_ns = now - self._next_timeout()
         if late_ns > STALL_PERIODS * self.settings.probe_period_ns:
             self.recover_from_stall(late_ns)
         outgoing = self.relay.expire(now)
@@ -114,8 +124,25 @@
         self.view.expire_suspicions(now)
         if self.next_period_ns <= now:
             outgoing += self._begin_period(now)
+        if self.next_dissemination_ns <= now:
+            outgoing += self._disseminate(now)
         return outgoing
 
+    def _disseminate(self, now: int) -> list[Outgoing]:
+        """Send the pending updates to one member, in a period in which no probe carries them."""
+        self.next_dissemination_ns = now + self.settings.probe_period_ns
+        names = self.random.sample(self.table.probe_order.names, 1)
+        if len(self.view.dissemination) == 0:
+            return []
+        return [self._update_message(self.table.record_of(name)) for name in names]
+
+    def _update_message(self, recipient: MemberRecord) -> Outgoing:
+        """Return a message with pending updates that gets no answer.
+
+        An ACK of sequence 0 without a digest answers no probe.
+        """
+        return self.composer.to_member(MessageType.ACK, 0, recipient)
+
     def recover_from_stall(self, stalled_ns: int) -> None:
         """Exclude the time in which this process did not run from its timeouts.
 
@@ -131,8 +158,11 @@
     def leave(self) -> list[Outgoing]:
         """Announce this member's departure to some members, which disseminate it."""
         self.view.leave()
-        # An ACK of sequence 0 without a digest answers no probe, and gets no answer itself.
-        names = self.random.sample(self.table.probe_order.names, 2 * self.settings.indirect_probes)
+        return self._announce_local(2 * self.settings.indirect_probes)
+
+    def _announce_local(self, max_recipients: int) -> list[Outgoing]:
+        """Send the local member's record, and nothing else, to randomly chosen members."""
+        names = self.random.sample(self.table.probe_order.names, max_recipients)
         local = self.table.local
         return [
             Outgoing(
@@ -145,23 +175,26 @@
     # This member's own probes.
 
     def _begin_period(self, now: int) -> list[Outgoing]:
-        if self.probe is not None:
-            self._probe_failed(now, self.probe)
+        outgoing = [] if self.probe is None else self._probe_failed(now, self.probe)
         # Poor local health lengthens the period, and the probe timeout too.
         period_ns = self.settings.probe_period_ns
         # After a delay, the next period begins at least half a period from now.
         period_start_ns = max(self.next_period_ns, now - period_ns // 2)
         self.next_period_ns = period_start_ns + period_ns * self.local_health.multiplier
-        return self._probe_next(now) + self._rejoin(now)
+        self.next_dissemination_ns = period_start_ns + period_ns
+        return outgoing + self._probe_next(now) + self._rejoin(now)
+
+    def _probe_failed(self, now: int, probe: Probe) -> list[Outgoing]:
+        """Suspect a member of which no answer arrived in the whole period, and notify it.
 
-    def _probe_failed(self, now: int, probe: Probe) -> None:
-        """Suspect a member of which no answer arrived in the whole period.
+        It can refute the suspicion only when it has heard of it (Lifeguard's buddy system).
 
         Helpers that did not even send a NACK, or the lack of any helper, are evidence that this
         member itself is slow (Lifeguard).
         """
         self.local_health.degrade(len(probe.helpers) - probe.nacks if probe.helpers else 1)
         self.view.suspect(now, probe.member, self.table.local.name)
+        return [self._update_message(probe.member.record)]
 
     def _probe_next(self, now: int) -> list[Outgoing]:
         self.probe = None
@@ -233,13 +266,17 @@
             # Another process uses this member's name, or the message is this member's own.
             self.counters.name_conflicts += sender.address != local.address
             return []
+        refuted = self.counters.refuted
         self._merge_updates(now, message)
         if message.type != MessageType.QUERY:
             # The sender of a query is an operator's tool, not a member.
             self.view.merge(now, sender, sender.name)
-        if message.target not in ("", local.name):
-            return []
-        return self._handlers[message.type](now, message)
+        outgoing = []
+        if self.counters.refuted > refuted:
+            outgoing = self._announce_local(MAX_REFUTATION_RECIPIENTS)
+        if message.target in ("", local.name):
+            outgoing += self._handlers[message.type](now, message)
+        return outgoing
 
     def _merge_updates(self, now: int, message: Message) -> None:
         accusers = iter(message.accusers)
--- a/tests/membership/test_cluster.py
+++ b/tests/membership/test_cluster.py
@@ -7,7 +7,7 @@
 from pepperhook.lab.gossip import Network, converged_network
 from pepperhook.membership.fleet_position import FleetPosition
 from pepperhook.membership.messages import MemberState
-from pepperhook.membership.settings import NS_PER_S, ProtocolSettings
+from pepperhook.membership.settings import NS_PER_MS, NS_PER_S, ProtocolSettings
 from tests.membership.helpers import assert_consistent, state_of
 
 FORGET_AFTER_NS = 20 * NS_PER_S
@@ -274,3 +274,23 @@
         assert network.has_converged()
         assert {position.count for position in positions.values()} == {20}
         assert sorted(position.index for position in positions.values()) == list(range(20))
+
+
+# The shortest suspicions of these clusters are 1.04, 1.18 and 1.42 s.
+@pytest.mark.parametrize("members, stop_s", [(20, 1.0), (30, 1.0), (60, 1.2)])
+def test_a_member_that_stops_for_less_than_a_suspicion_is_not_declared_lost(members, stop_s):
+    # Its refutation waited for its own probes, which poor local health had made rarer.
+    settings = ProtocolSettings(
+        probe_period_ns=400 * NS_PER_MS, probe_timeout_ns=120 * NS_PER_MS, suspicion_multiplier=2.0
+    )
+    falsely_lost = 0
+    for seed in range(6):
+        network = converged_network(members, seed, settings=settings)
+        for number in range(3, 9):
+            network.pause(f"m{number:04}")
+            network.run(network.now / NS_PER_S + stop_s)
+            network.resume(f"m{number:04}")
+            network.run(network.now / NS_PER_S + 8.0)
+        falsely_lost += network.false_lost
+
+    assert falsely_lost == 0
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -168,3 +168,61 @@
     assert protocol.local_health.score == MAX_SCORE
     assert protocol.next_period_ns - late > 2 * NS_PER_S
     assert_consistent(protocol)
+
+
+class TestPoorLocalHealth:
+    """A member whose health is poor is heard all the same."""
+
+    def test_a_refutation_is_sent_to_all_members_at_once(self):
+        # It waited for the member's next probe, which poor local health had made nine times rarer.
+        protocol = make_protocol("abcde")
+        protocol.local_health.set_worst()
+        update = suspect(LOCAL)
+
+        message = Message(MessageType.ACK, 0, record("a"), LOCAL, None, [update], ["b"])
+        outgoing = protocol.receive(0, message)
+
+        assert {item.message.target for item in outgoing} == set("abcde")
+        assert {item.message.sender.incarnation for item in outgoing} == {update.incarnation + 1}
+
+    def test_pending_updates_are_sent_in_each_period_without_a_probe(self):
+        protocol = make_protocol("abcde")
+        protocol.local_health.set_worst()
+        begin_probe(protocol)
+        period_ns = protocol.settings.probe_period_ns
+
+        for _ in range(3):
+            now = protocol.next_deadline()
+            while now < protocol.next_dissemination_ns:
+                protocol.tick(now)
+                now = protocol.next_deadline()
+            [item] = protocol.tick(now)
+
+            assert item.message.type == MessageType.ACK and item.message.sequence == 0
+            assert item.message.updates
+            assert protocol.next_dissemination_ns == now + period_ns
+        assert protocol.next_period_ns > now
+
+    def test_a_late_update_is_no_sign_of_a_stall(self):
+        protocol = make_protocol("ab")
+        protocol.local_health.set_worst()
+        begin_probe(protocol)
+        protocol.view.dissemination.transmissions.clear()
+        later = protocol.next_dissemination_ns + 3 * protocol.settings.probe_period_ns
+
+        protocol.probe = None
+        protocol.view.merge(later, record("c"), "a")
+        protocol.tick(later)
+
+        assert protocol.counters.stalls == 0
+
+    def test_the_accuser_notifies_the_suspect_at_once(self):
+        protocol = make_protocol("abcde")
+        target = begin_probe(protocol)
+        protocol.tick(protocol.probe.timeout_at_ns)
+
+        outgoing = protocol.tick(protocol.next_period_ns)
+
+        [notice] = [item.message for item in outgoing if item.message.target == target]
+        assert notice.updates[0].name == target
+        assert notice.updates[0].state == MemberState.SUSPECT
