Control: a version that a balancer rejected is no base for patches

What operators saw: after a balancer rejected a version, no other version reached it; its streams broke with "patch of unknown version 2" until it was restarted.

Cause: `have` named the version that need not be sent, which may be a rejected one, and the service patched against it.

Change: a stream is opened with the processed version and, apart from it, number and hash of the one in force; on a stream, the last version sent is a base once the member reports that it runs it. A patch without its base, or whose result does not have its hash, makes the balancer ask for the complete version, once.

--- a/pepperhook/control_plane/extension.py
+++ b/pepperhook/control_plane/extension.py
@@ -20,6 +20,7 @@
 from pepperhook.control_plane.listed_endpoints import override_states
 from pepperhook.control_plane.service_connection import SeededJitter, ServiceConnection
 from pepperhook.control_plane.stream_client import StreamClient
+from pepperhook.control_plane.stream_request import StreamRequest
 from pepperhook.control_plane.version import Version
 from pepperhook.control_plane.version_applier import VersionApplier
 from pepperhook.domain import EndpointUpdate
@@ -65,11 +66,9 @@
         self.applier = VersionApplier(config, self._keys, log, dict(extensions))
         self.heartbeats = HeartbeatSender(config.name, tier, f"{host}:{port}", self.applier)
         self.stream = StreamClient(
-            name=config.name,
-            tier=tier,
             log=log,
             jitter=self._jitter,
-            latest_processed_number=lambda: self.applier.latest_processed_number,
+            make_request=partial(self._stream_request, config.name, tier),
             known_version=self.applier.known_version,
         )
         if table.sets_fleet_position:
@@ -144,6 +143,16 @@
 
     # Messages from the service, and heartbeats to it.
 
+    def _stream_request(self, name: str, tier: int) -> StreamRequest:
+        running = self.applier.running
+        return StreamRequest(
+            name=name,
+            tier=tier,
+            processed_number=self.applier.latest_processed_number,
+            base_number=self.applier.running_number,
+            base_hash=running.hash if running is not None else "",
+        )
+
     async def _handle(self, connection: ServiceConnection, message: StreamMessage) -> None:
         if isinstance(message, Version):
             if self.applier.receive(message):
--- a/pepperhook/control_plane/frames.py
+++ b/pepperhook/control_plane/frames.py
@@ -20,7 +20,7 @@
 from msgspec import Struct, field
 
 from pepperhook.control_plane.merge_patch import apply_patch, create_patch
-from pepperhook.control_plane.version import Version
+from pepperhook.control_plane.version import Version, content_hash
 from pepperhook.errors import PepperhookError
 
 FRAME_HEADER = struct.Struct(">II")
@@ -43,6 +43,10 @@
     """The bytes are not a valid stream; the reader must reconnect."""
 
 
+class MissingBaseError(StreamError):
+    """The reader does not have the version that a patch is for; it needs a complete version."""
+
+
 class BeginVersion(Struct):
     """Announces a version."""
 
@@ -195,7 +199,11 @@
     def _patched_version(self, content: bytes, base_number: int) -> Version:
         base = self._known_version(base_number)
         if base is None:
-            raise StreamError(f"patch of unknown version {base_number}")
+            raise MissingBaseError(f"patch of unknown version {base_number}")
         without_document, patch = msgspec.json.decode(content, type=tuple[Version, dict[str, Any]])
         document = apply_patch(base.document, patch)
-        return msgspec.structs.replace(without_document, document=document)
+        version = msgspec.structs.replace(without_document, document=document)
+        if content_hash(version) != version.hash:
+            # The sender's version of this number may be another one, after it lost its store.
+            raise MissingBaseError(f"patch of another version {base_number}")
+        return version
--- a/pepperhook/control_plane/http_api.py
+++ b/pepperhook/control_plane/http_api.py
@@ -29,6 +29,7 @@
 )
 from pepperhook.control_plane.rollout_driver import RolloutAction
 from pepperhook.control_plane.service import ControlService
+from pepperhook.control_plane.stream_request import read_stream_request
 from pepperhook.control_plane.version_catalog import ChangeRejectedError
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -100,18 +101,16 @@
     # Members.
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
-        name = request.query["name"]
-        tier = int(request.query.get("tier", "0"))
+        opened = read_stream_request(request.query)
         response = web.StreamResponse(headers={"Content-Type": "application/octet-stream"})
         await response.prepare(request)
         counters = self._service.counters
         counters.streams += 1
-        self._service.connect(name, tier)
+        self._service.connect(opened.name, opened.tier)
         try:
-            processed_number = int(request.query.get("have", "0"))
             # The member disconnected; it reconnects by itself.
             with contextlib.suppress(OSError):
-                await self._service.streams.feed(response.write, name, tier, processed_number)
+                await self._service.streams.feed(response.write, opened)
         finally:
             counters.streams -= 1
         return response
--- a/pepperhook/control_plane/stream_client.py
+++ b/pepperhook/control_plane/stream_client.py
@@ -3,13 +3,19 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from urllib.parse import urlencode
 
 import aiohttp
+import msgspec
 
-from pepperhook.control_plane.frames import FindVersion, FrameReader, StreamError, StreamMessage
-from pepperhook.control_plane.messages import STREAM_PATH
+from pepperhook.control_plane.frames import (
+    FindVersion,
+    FrameReader,
+    MissingBaseError,
+    StreamError,
+    StreamMessage,
+)
 from pepperhook.control_plane.service_connection import SeededJitter, ServiceConnection
+from pepperhook.control_plane.stream_request import StreamRequest
 from pepperhook.server.structured_logging import Log
 
 FIRST_RECONNECT_S = 0.25  # doubled with each failure
@@ -25,25 +31,21 @@
     def __init__(
         self,
         *,
-        name: str,
-        tier: int,
         log: Log,
         jitter: SeededJitter,
-        latest_processed_number: Callable[[], int],
+        make_request: Callable[[], StreamRequest],
         known_version: FindVersion,
     ) -> None:
-        """Read the stream of the member ``name``.
+        """Read the streams that ``make_request`` returns the requests for.
 
-        ``latest_processed_number`` returns the number of the version that need not be sent,
-        ``known_version`` a version by its number, for patches to be applied to.
+        ``known_version`` returns a version by its number, for patches to be applied to.
         """
         self.connected = False
         self.broken_streams = 0
-        self._name = name
-        self._tier = tier
+        self._needs_complete_version = False  # after a patch without its base
         self._log = log
         self._jitter = jitter
-        self._latest_processed_number = latest_processed_number
+        self._make_request = make_request
         self._known_version = known_version
 
     async def run(self, connection: ServiceConnection, handle: HandleMessage) -> None:
@@ -58,6 +60,7 @@
                 await self._read_stream(connection, handle)
             except (aiohttp.ClientError, OSError, StreamError) as error:
                 self.broken_streams += 1
+                self._needs_complete_version = isinstance(error, MissingBaseError)
                 # Only the end of an established stream is logged, not each failed connect.
                 if self.connected:
                     wait_s = FIRST_RECONNECT_S
@@ -71,7 +74,7 @@
     async def _read_stream(self, connection: ServiceConnection, handle: HandleMessage) -> None:
         """Read one stream. Raises ClientError, OSError or StreamError when it ends."""
         reader = FrameReader(self._known_version)
-        async with connection.open_stream(self._path()) as response:
+        async with connection.open_stream(self._request().path()) as response:
             if response.status != HTTPStatus.OK:
                 text = (await response.text())[:MAX_ERROR_CHARACTERS]
                 raise StreamError(f"status {response.status}: {text}")
@@ -81,6 +84,10 @@
                     await handle(message)
         raise StreamError("the stream ended")
 
-    def _path(self) -> str:
-        query = {"name": self._name, "tier": self._tier, "have": self._latest_processed_number()}
-        return f"{STREAM_PATH}?{urlencode(query)}"
+    def _request(self) -> StreamRequest:
+        request = self._make_request()
+        if not self._needs_complete_version:
+            return request
+        # Without the number of a processed version, a service of any release sends the version that
+        # this member is to run, and sends it whole.
+        return msgspec.structs.replace(request, processed_number=0, base_number=0, base_hash="")
--- a/pepperhook/control_plane/version_streams.py
+++ b/pepperhook/control_plane/version_streams.py
@@ -11,6 +11,7 @@
 from pepperhook.control_plane.frames import FrameKind, MembershipView, StreamHeartbeat
 from pepperhook.control_plane.history import HistoryStore
 from pepperhook.control_plane.member_registry import MemberRegistry
+from pepperhook.control_plane.stream_request import StreamRequest
 from pepperhook.errors import PepperhookError
 
 HEARTBEAT_INTERVAL_S = 2.0  # between frames of a stream without changes
@@ -77,19 +78,21 @@
         self._encoded_versions: dict[tuple[int, int], bytes] = {}  # by number and base
         self._encoded_views: dict[int, _EncodedView] = {}  # by tier
 
-    async def feed(self, write: Write, name: str, tier: int, processed_number: int) -> None:
-        """Write one member's stream until it breaks.
-
-        ``processed_number`` is the number of the version that the member last applied or rejected,
-        which need not be sent.
-        """
-        epoch = 0
+    async def feed(self, write: Write, opened: StreamRequest) -> None:
+        """Write the stream that a member has opened, until it breaks."""
+        name, tier = opened.name, opened.tier
+        processed_number = opened.processed_number
+        base_number = self._known_base(opened)
+        sent_number = epoch = 0
         while True:
             change = self.changes.next_change
             desired = self._desired_version(name)
             if desired not in (processed_number, 0):
-                await self._send_version(write, name, desired, processed_number)
-                processed_number = desired
+                if sent_number:
+                    # The member may have rejected it, or not have reported yet.
+                    base_number = sent_number if self._runs(name, sent_number) else 0
+                await self._send_version(write, name, desired, base_number)
+                processed_number = sent_number = desired
             if self._registry.epoch(tier) != epoch:
                 view = self._encoded_view(tier)
                 epoch = view.epoch
@@ -99,6 +102,16 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(change.wait(), HEARTBEAT_INTERVAL_S)
 
+    def _known_base(self, opened: StreamRequest) -> int:
+        """Return the number of the version that both sides have; 0: none."""
+        version = self._store.version(opened.base_number) if opened.base_number else None
+        return 0 if version is None or version.hash != opened.base_hash else version.number
+
+    def _runs(self, name: str, number: int) -> bool:
+        """Return whether a member has reported that it runs a version."""
+        member = self._registry.members.get(name)
+        return member is not None and member.running_version == number
+
     async def _send_version(self, write: Write, name: str, number: int, base_number: int) -> None:
         data = self._encoded_version(number, base_number)
         await write(data)
--- a/tests/control_plane/test_rejected_versions.py
+++ b/tests/control_plane/test_rejected_versions.py
@@ -1,8 +1,12 @@
 """A balancer that rejected a version receives the next ones, on the same stream and on new ones."""
 
+import msgspec
 import pytest
 
+from pepperhook.control_plane.frames import FrameReader, MissingBaseError, encode_version
 from pepperhook.control_plane.rollout import RolloutState
+from pepperhook.control_plane.stream_request import read_stream_request
+from pepperhook.control_plane.version_streams import VersionStreams
 from pepperhook.server.extensions import Extensions
 from tests.control_plane.helpers import (
     RunningControlService,
@@ -11,6 +15,7 @@
     propose,
     roll_back,
     roll_out_at_once,
+    signed_version,
     until,
 )
 from tests.server.balancers import RunningBalancer
@@ -75,3 +80,77 @@
             await until(lambda: control.applier.running_number == 3)
             assert control.applier.rejection is None
             assert control.stream.broken_streams == 0
+
+
+class EarlierService:
+    """Makes the service send versions as that of the earlier release: as patches of the last one.
+
+    It read only the number of the last version that a balancer had applied or rejected.
+    """
+
+    def __init__(self, monkeypatch):
+        feed = VersionStreams.feed
+        monkeypatch.setattr(VersionStreams, "_known_base", lambda _, opened: opened.base_number)
+        monkeypatch.setattr(VersionStreams, "_runs", lambda *_: True)
+        monkeypatch.setattr(
+            VersionStreams,
+            "feed",
+            lambda streams, write, opened: feed(
+                streams, write, msgspec.structs.replace(opened, base_number=opened.processed_number)
+            ),
+        )
+
+
+async def test_a_rollback_of_an_earlier_service_reaches_the_balancer_by_a_complete_version(
+    tmp_path, monkeypatch
+):
+    EarlierService(monkeypatch)
+    async with (
+        ScriptedPeer(always(make_response())) as upstream,
+        RunningControlService(tmp_path / "s") as control_service,
+    ):
+        service = control_service.service
+        control = control_extension(control_service.address)
+        async with RunningBalancer(
+            [upstream.address], extensions=Extensions([control]), owns_event_loop=False
+        ):
+            await until(lambda: control.stream.connected)
+            await reject_second_version(service, control, rows=40)
+
+            roll_back(service, "harmful")
+            service.streams.changes.notify()
+
+            await until(lambda: control.applier.running_number == 3)
+            assert control.stream.broken_streams == 1
+
+
+async def test_an_earlier_balancer_gets_complete_versions_when_it_opens_a_stream(tmp_path):
+    # It reports the version that it rejected as the one that it has, and no base.
+    async with RunningControlService(tmp_path / "s") as control_service:
+        service = control_service.service
+        propose(service, document_of_rows(40))
+        propose(service, draining_document(40))
+        propose(service, document_of_rows(40))
+        service.connect("n", 0)
+        roll_out_at_once(service, 3)
+        frames = []
+
+        async def write(data):
+            frames.append(data)
+            if len(frames) == 2:
+                raise ConnectionResetError
+
+        with pytest.raises(ConnectionResetError):
+            await service.streams.feed(write, read_stream_request({"name": "n", "have": "2"}))
+
+        [version] = FrameReader(lambda _: None).feed(frames[0])
+        assert version.number == 3
+
+
+async def test_a_patch_of_another_version_with_the_number_of_the_base_is_refused():
+    # After the loss of its store, a service numbers versions that members have other ones of.
+    ours, theirs = signed_version(1, document_of_rows(40)), signed_version(1, draining_document(39))
+    patch = b"".join(encode_version(signed_version(2, draining_document(40)), theirs))
+
+    with pytest.raises(MissingBaseError, match="patch of another version 1"):
+        FrameReader({1: ours}.get).feed(patch)
