Control: versions are numbered above all that members run or have rejected

What operators saw: after the service's store was lost or restored, new versions were outdated for every balancer, and the rollout was paused after a minute without saying why.

Cause: the number came from the store alone, though heartbeats report what members run; the content behind a number was compared by nobody.

Change: numbers go on above all that members report; heartbeats carry the hash of the version in force, and a version that the store does not have is logged, shown in the member's status and is neither applied nor a base; a rollout that a member would ignore is refused in one line.

--- a/pepperhook/control_plane/heartbeat.py
+++ b/pepperhook/control_plane/heartbeat.py
@@ -37,10 +37,12 @@
     def _heartbeat(self) -> Heartbeat:
         upstreams = self._applier.endpoints.ready_names()
         checksum = crc32("\n".join(upstreams).encode())
+        running = self._applier.running
         return Heartbeat(
             name=self._name,
             tier=self._tier,
             running_version=self._applier.running_number,
+            running_hash=running.hash if running is not None else "",
             rejection=self._applier.rejection,
             succeeded=self.requests.succeeded,
             failed=self.requests.failed,
--- a/pepperhook/control_plane/member_registry.py
+++ b/pepperhook/control_plane/member_registry.py
@@ -33,6 +33,9 @@
     lease_until_ns: int
     last_heard_ns: int
     running_version: int = 0  # as it reported
+    rejected_version: int = 0  # as it reported; 0: none
+    # Whether the store does not have the version that it runs, as after the loss of the store.
+    runs_foreign_version: bool = False
     sent_version: int = 0  # last version sent to it
     state: MemberState = MemberState.PENDING
     reason: str = ""  # of a rejection
@@ -119,8 +122,29 @@
         )
 
     def running_versions(self) -> dict[str, int]:
-        """Return the version that each member reports."""
-        return {name: member.running_version for name, member in self.members.items()}
+        """Return the version that each member reports; 0: none that the store has."""
+        return {
+            name: 0 if member.runs_foreign_version else member.running_version
+            for name, member in self.members.items()
+        }
+
+    def foreign_versions(self) -> dict[str, int]:
+        """Return the versions that members run and the store does not have, by member."""
+        return {
+            name: member.running_version
+            for name, member in sorted(self.members.items())
+            if member.runs_foreign_version
+        }
+
+    def highest_reported_version(self) -> int:
+        """Return the highest version that any member reports to run or to have rejected."""
+        return max(
+            (
+                max(member.running_version, member.rejected_version)
+                for member in self.members.values()
+            ),
+            default=0,
+        )
 
     def upstreams(self) -> frozenset[str]:
         """Return the names of all upstreams that any member reports."""
--- a/pepperhook/control_plane/messages.py
+++ b/pepperhook/control_plane/messages.py
@@ -39,6 +39,7 @@
     name: str
     tier: int
     running_version: int = field(name="running")
+    running_hash: str = ""  # of that version; empty: none, or not reported by an earlier release
     rejection: Rejection | None = field(default=None, name="refused")
     succeeded: int = field(default=0, name="good")  # requests since its start
     failed: int = field(default=0, name="bad")
--- a/pepperhook/control_plane/rollout_driver.py
+++ b/pepperhook/control_plane/rollout_driver.py
@@ -66,6 +66,13 @@
                 f"rollout {previous.number} of version {previous.version} by {previous.author} "
                 f"is {previous.state}"
             )
+        for name, running in self._registry.foreign_versions().items():
+            if running >= request.version:
+                raise ChangeRejectedError(
+                    f"member {name} runs version {running}, which is not in this store, and "
+                    f"applies no lower one: propose version {request.version} again, "
+                    "which numbers it higher"
+                )
         if not are_valid_steps(request.steps):
             raise ChangeRejectedError(
                 "steps: shares from above 0 up to 1 are wanted, the last of them 1"
--- a/pepperhook/control_plane/service.py
+++ b/pepperhook/control_plane/service.py
@@ -32,6 +32,7 @@
 TICK_INTERVAL_S = 0.25
 SAVE_MEMBERS_INTERVAL_S = 5.0
 NS_PER_MS = 10**6
+FOREIGN_VERSION_REASON = "runs a version that is not in this store; propose again"
 
 
 class ControlService:
@@ -61,7 +62,11 @@
 
         self.registry = MemberRegistry(lease_ns or DEFAULT_LEASE_NS)
         self._restore_members()
-        self.catalog = VersionCatalog(store, keys, clock, self.registry.upstreams)
+        self.catalog = VersionCatalog(
+            store, keys, clock, self.registry.upstreams, self.registry.highest_reported_version
+        )
+        for member in self.registry.members.values():
+            self._note_running_version(member, member.running_version, version_hash="")
         self.streams = VersionStreams(
             store, self.registry, self.desired_version, self.counters, clock
         )
@@ -149,6 +154,7 @@
             raise RequestDeniedError("too many beats, or too many members")
         self.counters.heartbeats += 1
         self._count_requests(member, heartbeat)
+        self._note_running_version(member, heartbeat.running_version, heartbeat.running_hash)
         if heartbeat.upstreams is not UNSET:
             member.upstreams = tuple(heartbeat.upstreams[:MAX_REPORTED_UPSTREAMS])
             member.upstreams_checksum = heartbeat.upstreams_checksum
@@ -170,14 +176,26 @@
                 heartbeat.succeeded - member.succeeded,
                 heartbeat.failed - member.failed,
             )
-        member.running_version = heartbeat.running_version
         member.succeeded = heartbeat.succeeded
         member.failed = heartbeat.failed
 
+    def _note_running_version(self, member: Member, number: int, version_hash: str) -> None:
+        member.running_version = number
+        is_foreign = number > 0 and not self.catalog.has_version(number, version_hash)
+        if is_foreign and not member.runs_foreign_version:
+            self._log.warning(
+                "member %s runs version %d, which is not in this store", member.name, number
+            )
+        member.runs_foreign_version = is_foreign
+
     def _update_state(self, member: Member, heartbeat: Heartbeat) -> None:
         rejection = heartbeat.rejection
+        member.rejected_version = rejection.version if rejection is not None else 0
         if rejection is None:
-            applied = member.running_version == self.desired_version(member.name)
+            applied = (
+                member.running_version == self.desired_version(member.name)
+                and not member.runs_foreign_version
+            )
             member.state = MemberState.APPLIED if applied else MemberState.PENDING
             member.reason = ""
             return
@@ -217,7 +235,7 @@
             sent_version=member.sent_version,
             desired_version=self.desired_version(member.name),
             state=member.state,
-            reason=member.reason,
+            reason=FOREIGN_VERSION_REASON if member.runs_foreign_version else member.reason,
             succeeded=member.succeeded,
             failed=member.failed,
             last_heard_ms=int((self.clock() - silent_s) * 1000),
--- a/pepperhook/control_plane/version_catalog.py
+++ b/pepperhook/control_plane/version_catalog.py
@@ -45,15 +45,19 @@
         keys: KeyRing,
         clock: Callable[[], float],
         known_upstreams: Callable[[], frozenset[str]],
+        highest_reported_version: Callable[[], int],
     ) -> None:
         """Continue the stored history.
 
-        ``clock`` gives Unix seconds, ``known_upstreams`` the names that members report.
+        ``clock`` gives Unix seconds, ``known_upstreams`` the names that members report,
+        ``highest_reported_version`` the highest number that they report.
         """
         self._store = store
         self._keys = keys
         self._clock = clock
         self._known_upstreams = known_upstreams
+        self._highest_reported_version = highest_reported_version
+        self._hashes: dict[int, str] = {}  # of versions in the store, by number
         self.newest = store.newest_version()
 
     @property
@@ -61,6 +65,15 @@
         """Return the number of the newest version; 0 if there is none."""
         return self.newest.number if self.newest else 0
 
+    def has_version(self, number: int, version_hash: str) -> bool:
+        """Return whether the store has the version; with an empty hash only the number counts."""
+        if number not in self._hashes:
+            version = self._store.version(number)
+            if version is None:
+                return False
+            self._hashes[number] = version.hash
+        return version_hash in ("", self._hashes[number])
+
     def plan(self, request: PlanRequest) -> Plan:
         """Return the changes that a document would make and the checks that it violates.
 
@@ -120,12 +133,19 @@
             forced=ROLLBACK_OVERRIDES,
         )
 
+    def _next_number(self) -> int:
+        """Return a number above all that members report, as they apply no lower one.
+
+        They may report higher ones than the store has, if it was lost or restored from a backup.
+        """
+        return max(self.newest_number, self._highest_reported_version()) + 1
+
     def _add(
         self, *, parent: int, author: str, reason: str, document: dict[str, Any], forced: list[str]
     ) -> Version:
         version = sign_version(
             Version(
-                number=self.newest_number + 1,
+                number=self._next_number(),
                 parent=parent,
                 author=author,
                 reason=reason,
--- a/pepperhook/control_plane/version_streams.py
+++ b/pepperhook/control_plane/version_streams.py
@@ -110,7 +110,11 @@
     def _runs(self, name: str, number: int) -> bool:
         """Return whether a member has reported that it runs a version."""
         member = self._registry.members.get(name)
-        return member is not None and member.running_version == number
+        return (
+            member is not None
+            and member.running_version == number
+            and not member.runs_foreign_version
+        )
 
     async def _send_version(self, write: Write, name: str, number: int, base_number: int) -> None:
         data = self._encoded_version(number, base_number)
