Membership: a leaving member runs no timers and does not log itself as lost

Cause: a datagram after the announcement of its departure ran the timers again; the view then lacked the member itself, so its position was not updated, and it logged every absent name as lost, at each datagram.

Why this works: a leaving member answers, and neither probes nor reports.

--- a/pepperhook/membership/extension.py
+++ b/pepperhook/membership/extension.py
@@ -242,8 +242,11 @@
     # Timer.
 
     def _run_timers(self) -> None:
-        """Run expired timers, and schedule the next call."""
-        if self.transport is None or self.transport.is_closing():
+        """Run expired timers, and schedule the next call.
+
+        A member that leaves probes nobody any more, and its own departure is no change to report.
+        """
+        if self._is_leaving or self.transport is None or self.transport.is_closing():
             return
         runtime = self.node.runtime
         runtime.supervisor.run_step("gossip", self._tick_protocol)
--- a/tests/membership/test_extension.py
+++ b/tests/membership/test_extension.py
@@ -99,6 +99,27 @@
         assert stopped.transport.is_closing()
 
 
+async def test_a_balancer_that_leaves_does_not_report_itself_as_lost(caplog, monkeypatch):
+    # It did if a datagram arrived after its announcement, while the socket was still open.
+    caplog.set_level(logging.INFO)
+    async with Fleet(3) as fleet:
+        await wait_until(fleet.all_agree)
+        leaving = fleet.extensions[2]
+
+        async def receive_probe(_):
+            probe = Message(MessageType.PING, 1, leaving.protocol.table.record_of("b0"), "b2")
+            leaving.datagram_received(encode(probe, leaving.keys), ("127.0.0.1", 1))
+
+        monkeypatch.setattr(extension_module, "LEAVE_DELAY_S", 0.0)
+        monkeypatch.setattr(extension_module.asyncio, "sleep", receive_probe)
+        await leaving.left()
+        monkeypatch.undo()
+
+        lost = [record for record in caplog.records if "lost" in str(record.__dict__)]
+        assert not lost
+        assert leaving.protocol.table.local.state == MemberState.LEFT
+
+
 async def test_the_policy_receives_the_fleet_position_found_by_gossip():
     async with Fleet(3, sets_fleet_position=True) as fleet:
         await wait_until(
