Lab: granted-always grants retries, and a defect that fails itself is no result

Cause: the defect called load_queries.is_running, which does not exist; each failed attempt raised AttributeError in the policy, which answered without a retry.

Change: it asks for the request among load_queries.running, as the policy does. A run with an injected defect whose balancers log an error that only wrong code raises ends with RunError.

--- a/pepperhook/lab/defects.py
+++ b/pepperhook/lab/defects.py
@@ -343,7 +343,7 @@
             attempt.outcome is Outcome.SERVED
             or request.finished
             or request.open_attempts
-            or self.balancer.load_queries.is_running(request)
+            or request in self.balancer.load_queries.running
         )
         return not is_settled and self.balancer.guard.may_retry(now, request, None, None)
 
--- a/pepperhook/lab/proofs/base.py
+++ b/pepperhook/lab/proofs/base.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import re
 import shutil
 import tempfile
 import time
@@ -17,6 +18,11 @@
 from pepperhook.lab import experiment
 from pepperhook.lab.scenario_run import ROOT, RunError, ScenarioRun
 
+# Errors of a defect that names what does not exist, as the balancer logs them.
+PROGRAMMING_ERROR = re.compile(
+    r"event=\w+_fault .*\b(AttributeError|ImportError|NameError|TypeError)\b"
+)
+
 
 def void_reason(result):
     """Return why a run is void."""
@@ -28,6 +34,16 @@
     ).format(**result["core_wait"])
 
 
+def find_programming_error(folder: Path) -> str | None:
+    """Return the first log line of a balancer with an error that only wrong code raises."""
+    for path in sorted(folder.glob("balancer-*.log")):
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            for line in lines:
+                if PROGRAMMING_ERROR.search(line):
+                    return line.strip()
+    return None
+
+
 class Proof:
     """An acceptance scenario: a subclass has ``name``, ``plants`` and ``run``.
 
@@ -90,12 +106,18 @@
         seed: int | None = None,
         **options: Any,
     ) -> dict[str, Any]:
-        """Play one run and return its result, void or not."""
+        """Play one run and return its result, void or not.
+
+        Raises RunError if an injected defect failed itself, which shows nothing about the checks.
+        """
+        folder = self.folder / name
         result = ScenarioRun(
-            scenario, variant, self.seed if seed is None else seed, self.folder / name, **options
+            scenario, variant, self.seed if seed is None else seed, folder, **options
         ).play()
         if result["interrupted"]:
             raise KeyboardInterrupt
+        if variant.defect and (error := find_programming_error(folder)):
+            raise RunError(f"the injected defect {variant.defect} failed itself: {error}")
         return result
 
     def accept_result(self, name, result):
--- a/tests/lab/test_defects.py
+++ b/tests/lab/test_defects.py
@@ -1,7 +1,14 @@
 """The injected defects change the decisions that they are named for."""
 
+import shutil
+
+import pytest
+
 from pepperhook.domain import Outcome
 from pepperhook.lab import defects
+from pepperhook.lab.experiment import Variant
+from pepperhook.lab.proofs import PROOFS, base
+from pepperhook.lab.scenario_run import RunError
 from pepperhook.policy import retry_budget
 from pepperhook.units import MILLISECOND
 from tests.policy.simulation import PolicySimulation
@@ -29,3 +36,42 @@
     defects.DEFECTS["granted-always"]()
 
     assert count_retries_without_budget(20) > 10
+
+
+def make_proof(monkeypatch, log_line):
+    """Return a scenario whose only run writes ``log_line`` to the log of a balancer."""
+
+    class Run:
+        def __init__(self, _scenario, _variant, _seed, folder):
+            self.folder = folder
+
+        def play(self):
+            self.folder.mkdir()
+            (self.folder / "balancer-0-0.log").write_text(log_line)
+            return {"interrupted": False}
+
+    monkeypatch.setattr(base, "ScenarioRun", Run)
+    return PROOFS["amplification"](False, None, None, lambda *_: None)
+
+
+@pytest.mark.parametrize(
+    "log_line, has_failed",
+    [
+        ("time=x level=error event=module_fault call=wake error=\"AttributeError('x')\"\n", True),
+        ("time=x level=error event=dispatch_fault upstream=h error=NameError\n", True),
+        ("time=x level=info event=ended\n", False),
+    ],
+)
+def test_a_run_in_which_the_defect_itself_fails_is_no_result(monkeypatch, log_line, has_failed):
+    # A defect that failed by AttributeError counted as found.
+    proof = make_proof(monkeypatch, log_line)
+    variant = Variant(name="pepperhook", defect="granted-always")
+    try:
+        if has_failed:
+            with pytest.raises(RunError, match="granted-always failed itself"):
+                proof.play_once(proof.scenario, variant, "run")
+        else:
+            assert proof.play_once(proof.scenario, variant, "run") == {"interrupted": False}
+        assert proof.play_once(proof.scenario, Variant(name="other"), "other")
+    finally:
+        shutil.rmtree(proof.folder)
