HTTP/2: a request that gets no stream of an upstream was never sent

What callers saw: 500 after the whole time limit where an upstream's SETTINGS permit no streams, though nothing was sent.

Cause: the wait for a stream was bounded by the time limit alone and ended as an attempt that timed out, which may have been executed.

Change: an upstream that permits no stream counts as unreachable at once; a wait for a stream ends with the connect timeout and counts as overloaded. Both outcomes are provably never executed: another attempt, or a rejection in time.

--- a/pepperhook/http2/client.py
+++ b/pepperhook/http2/client.py
@@ -22,6 +22,8 @@
     ConnectFailedError,
     ConnectionLostError,
     ConnectTimeoutError,
+    NoFreeStreamError,
+    NoStreamsPermittedError,
     SendForbiddenError,
     SocketLimitError,
     StaleConnectionError,
@@ -103,6 +105,8 @@
         except AttemptError:
             raise
         except TimeoutError as error:
+            if not exchange.stream_id:
+                raise ConnectTimeoutError(f"no stream of {self.address} in time") from error
             raise AttemptTimeoutError(str(error)) from error
         except h2.exceptions.ProtocolError as error:
             if exchange.is_written:
@@ -133,8 +137,8 @@
         """Return the connection with the most free streams; wait if no stream is free.
 
         Also opens another connection if the one returned is nearly full. ``connect_deadline``, in
-        the event loop's time, limits the wait for a connection. Raises ConnectFailedError or
-        SocketLimitError.
+        the event loop's time, limits the wait for a connection or a stream. Raises
+        ConnectFailedError, SocketLimitError or NoFreeStreamError.
         """
         while True:
             self._close_idle_connections()
@@ -146,10 +150,18 @@
                 if is_nearly_full and len(self.connections) < MAX_CONNECTIONS:
                     self._start_connecting()
                 return best
+            if self._permits_no_streams():
+                raise NoStreamsPermittedError(f"{self.address} permits no streams")
             if len(self.connections) < MAX_CONNECTIONS:
                 await self._wait_for_connect(connect_deadline)
             else:
-                await self._wait_for_stream()
+                await self._wait_for_stream(connect_deadline)
+
+    def _permits_no_streams(self) -> bool:
+        """Whether the upstream's SETTINGS permit no stream on any connection, for now."""
+        return bool(self.connections) and all(
+            connection.stream_limit.max_streams == 0 for connection in self.connections
+        )
 
     async def _wait_for_connect(self, deadline: float) -> None:
         """Open a connection or join the attempt in progress; its failure fails all who wait."""
@@ -164,11 +176,14 @@
         except OSError as error:
             raise ConnectFailedError(str(error)) from error
 
-    async def _wait_for_stream(self) -> None:
+    async def _wait_for_stream(self, deadline: float) -> None:
         waiter: asyncio.Future[None] = self.loop.create_future()
         self.waiters.append(waiter)
         try:
-            await waiter
+            async with asyncio.timeout_at(deadline):
+                await waiter
+        except TimeoutError:
+            raise NoFreeStreamError(f"no stream of {self.address} was free in time") from None
         finally:
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
--- a/pepperhook/server/attempt_errors.py
+++ b/pepperhook/server/attempt_errors.py
@@ -44,6 +44,10 @@
     """No connection was established in time."""
 
 
+class NoStreamsPermittedError(ConnectFailedError):
+    """The server permits no stream at all, so it cannot be reached until it permits one."""
+
+
 class StaleConnectionError(ConnectFailedError):
     """A reused connection was unusable before anything was written; another one may be used."""
 
@@ -60,6 +64,10 @@
     outcome = Outcome.OVERLOADED
 
 
+class NoFreeStreamError(OverloadedError):
+    """All streams that the server permits stayed in use, so no byte of the request was written."""
+
+
 class MalformedResponseError(AttemptError):
     """The response cannot be used: too large, incomplete, or a protocol violation."""
 
