HTTP/2: responses that wait for their client's window give way to other requests

What callers saw: REFUSED_STREAM for every HTTP/2 client while a few clients opened no window.

Cause: streams of all connections together are bounded, a response holds its own for up to 5 s while its client opens no window, and the request that came last was refused, whoever held them.

Not measured: latency of others beside such clients, the like over HTTP/1.1 and by upstreams.

--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -125,8 +125,7 @@
         self.flush()
 
     def _on_request(self, event: h2.events.RequestReceived) -> None:
-        has_too_many_streams = len(self.connections.streams) >= self.connections.max_streams
-        if self.is_going_away or has_too_many_streams:
+        if self.is_going_away or not self._has_free_stream():
             # Above the last id of a GOAWAY, or over the limit on streams of all connections
             # together. REFUSED_STREAM tells the client that the request was never executed.
             self._charge(FrameKind.REFUSED_REQUEST)
@@ -142,6 +141,16 @@
         self._schedule_sweep()
         stream.handle_headers(event)
 
+    def _has_free_stream(self) -> bool:
+        """Return whether a stream is free, if need be that of the longest waiting response.
+
+        Clients that open no window would otherwise hold all streams that the others need.
+        """
+        connections = self.connections
+        if len(connections.streams) < connections.max_streams:
+            return True
+        return any(stream.give_up() for stream in list(connections.window_waiters))
+
     def _on_data(self, event: h2.events.DataReceived) -> None:
         if not event.data and event.stream_ended is None:
             self._charge(FrameKind.EMPTY_DATA)
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -211,19 +211,42 @@
         connection.flush()
 
     async def _write_body(self, body: bytes) -> None:
-        """Write the body. Raises TimeoutError if the client opens no window in WINDOW_TIMEOUT_S."""
+        """Write the body.
+
+        Raises TimeoutError if the client opens no window in WINDOW_TIMEOUT_S, or if another request
+        needs the stream in the meantime.
+        """
         connection = self.connection
+        window_waiters = connection.connections.window_waiters
         remaining = memoryview(body)
-        while remaining:
-            sent = connection.h2.send_body_part(self.stream_id, remaining)
-            if sent:
-                remaining = remaining[sent:]
-                connection.flush()
-            else:
-                self.window_opened = connection.loop.create_future()
-                connection.flush()
-                async with asyncio.timeout(WINDOW_TIMEOUT_S):
-                    await self.window_opened
+        try:
+            while remaining:
+                sent = connection.h2.send_body_part(self.stream_id, remaining)
+                if sent:
+                    remaining = remaining[sent:]
+                    connection.flush()
+                else:
+                    # Keeps its place: a small window is no reason to go behind other responses.
+                    window_waiters.setdefault(self)
+                    await self._wait_for_window()
+        finally:
+            window_waiters.pop(self, None)
+
+    async def _wait_for_window(self) -> None:
+        self.window_opened = self.connection.loop.create_future()
+        self.connection.flush()
+        async with asyncio.timeout(WINDOW_TIMEOUT_S):
+            await self.window_opened
+
+    def give_up(self) -> bool:
+        """Give up a response that waits for its client's window; return whether it did wait."""
+        if self.window_opened is None or self.window_opened.done():
+            return False
+        self.window_opened.set_exception(TimeoutError("another request needs the stream"))
+        connections = self.connection.connections
+        connections.window_waiters.pop(self, None)
+        connections.streams.discard(self)
+        return True
 
 
 def _remove_stream(stream: ServerStream, _task: asyncio.Task[None]) -> None:
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -130,6 +130,8 @@
         self.detect_protocol: Callable[[Callable[[], Any]], Any] | None = None
         self.streams: set[Any] = set()  # requests on multiplexed connections
         self.max_streams = STREAMS_FACTOR * soft_limit
+        # Those of them whose response waits for the client's window, the longest waiting first.
+        self.window_waiters: dict[Any, None] = {}
         self.listener: socket.socket | None = None
         self._resume_timer: asyncio.TimerHandle | None = None
         self._full_since: float | None = None
