--- a/pepperhook/control_plane/extension.py
+++ b/pepperhook/control_plane/extension.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from pepperhook.control_plane.fleet_position import FleetPosition
-from pepperhook.control_plane.frames import MembershipView, StreamMessage
+from pepperhook.control_plane.frames import MembershipView, StreamError, StreamMessage
 from pepperhook.control_plane.heartbeat import HeartbeatSender
 from pepperhook.control_plane.last_good import LastGoodFile
 from pepperhook.control_plane.listed_endpoints import override_states
@@ -155,8 +155,12 @@
 
     async def _handle(self, connection: ServiceConnection, message: StreamMessage) -> None:
         if isinstance(message, Version):
+            forged_before = self.applier.counters.forged
             if self.applier.receive(message):
                 self.last_good.schedule(message)
+            if self.applier.counters.forged > forged_before:
+                # The service would not send it again on this stream.
+                raise StreamError("forged version")
             await self.last_good.flush()
             await self.heartbeats.send(connection)
         elif isinstance(message, MembershipView):
--- a/pepperhook/control_plane/member_registry.py
+++ b/pepperhook/control_plane/member_registry.py
@@ -123,10 +123,12 @@
 
     def running_versions(self) -> dict[str, int]:
         """Return the version that each member reports; 0: none that the store has."""
-        return {
-            name: 0 if member.runs_foreign_version else member.running_version
-            for name, member in self.members.items()
-        }
+        return {name: self.running_version(name) for name in self.members}
+
+    def running_version(self, name: str) -> int:
+        """Return the version that a member reports; 0: none, or one that the store lacks."""
+        member = self.members.get(name)
+        return 0 if member is None or member.runs_foreign_version else member.running_version
 
     def foreign_versions(self) -> dict[str, int]:
         """Return the versions that members run and the store does not have, by member."""
--- a/pepperhook/control_plane/service.py
+++ b/pepperhook/control_plane/service.py
@@ -68,7 +68,12 @@
         for member in self.registry.members.values():
             self._note_running_version(member, member.running_version, version_hash="")
         self.streams = VersionStreams(
-            store, self.registry, self.desired_version, self.counters, clock
+            store,
+            self.registry,
+            self.desired_version,
+            self.catalog.has_version,
+            self.counters,
+            clock,
         )
         self.rollouts = RolloutDriver(
             store=store,
--- a/pepperhook/control_plane/stream_client.py
+++ b/pepperhook/control_plane/stream_client.py
@@ -1,6 +1,7 @@
 """Reads the service's stream, and reconnects with exponential, jittered backoff."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -20,6 +21,7 @@
 
 FIRST_RECONNECT_S = 0.25  # doubled with each failure
 MAX_RECONNECT_S = 20.0
+STABLE_STREAM_S = 5.0  # after which the next reconnect begins with the first wait again
 MAX_ERROR_CHARACTERS = 200  # of an error response, in the log
 
 HandleMessage = Callable[[StreamMessage], Awaitable[None]]
@@ -56,6 +58,7 @@
         """
         wait_s = FIRST_RECONNECT_S
         while True:
+            opened_at = time.monotonic()
             try:
                 await self._read_stream(connection, handle)
             except (aiohttp.ClientError, OSError, StreamError) as error:
@@ -63,7 +66,8 @@
                 self._needs_complete_version = isinstance(error, MissingBaseError)
                 # Only the end of an established stream is logged, not each failed connect.
                 if self.connected:
-                    wait_s = FIRST_RECONNECT_S
+                    if time.monotonic() - opened_at >= STABLE_STREAM_S:
+                        wait_s = FIRST_RECONNECT_S
                     self._log.warning(
                         "control_stream_lost", error=f"{type(error).__name__}: {error}"
                     )
--- a/pepperhook/control_plane/version_streams.py
+++ b/pepperhook/control_plane/version_streams.py
@@ -11,6 +11,7 @@
 from pepperhook.control_plane.frames import FrameKind, MembershipView, StreamHeartbeat
 from pepperhook.control_plane.history import HistoryStore
 from pepperhook.control_plane.member_registry import MemberRegistry
+from pepperhook.control_plane.member_stream import HasVersion, MemberStream, VersionToSend
 from pepperhook.control_plane.stream_request import StreamRequest
 from pepperhook.errors import PepperhookError
 
@@ -65,6 +66,7 @@
         store: HistoryStore,
         registry: MemberRegistry,
         desired_version: Callable[[str], int],
+        has_version: HasVersion,
         counters: ServiceCounters,
         clock: Callable[[], float],
     ) -> None:
@@ -73,6 +75,7 @@
         self._store = store
         self._registry = registry
         self._desired_version = desired_version
+        self._has_version = has_version
         self._counters = counters
         self._clock = clock
         self._encoded_versions: dict[tuple[int, int], bytes] = {}  # by number and base
@@ -81,18 +84,14 @@
     async def feed(self, write: Write, opened: StreamRequest) -> None:
         """Write the stream that a member has opened, until it breaks."""
         name, tier = opened.name, opened.tier
-        processed_number = opened.processed_number
-        base_number = self._known_base(opened)
-        sent_number = epoch = 0
+        stream = MemberStream(opened, self._has_version)
+        epoch = 0
         while True:
             change = self.changes.next_change
             desired = self._desired_version(name)
-            if desired not in (processed_number, 0):
-                if sent_number:
-                    # The member may have rejected it, or not have reported yet.
-                    base_number = sent_number if self._runs(name, sent_number) else 0
-                await self._send_version(write, name, desired, base_number)
-                processed_number = sent_number = desired
+            to_send = stream.next_version(desired, self._registry.running_version(name))
+            if to_send is not None:
+                await self._send_version(write, name, to_send)
             if self._registry.epoch(tier) != epoch:
                 view = self._encoded_view(tier)
                 epoch = view.epoch
@@ -102,28 +101,14 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(change.wait(), HEARTBEAT_INTERVAL_S)
 
-    def _known_base(self, opened: StreamRequest) -> int:
-        """Return the number of the version that both sides have; 0: none."""
-        version = self._store.version(opened.base_number) if opened.base_number else None
-        return 0 if version is None or version.hash != opened.base_hash else version.number
-
-    def _runs(self, name: str, number: int) -> bool:
-        """Return whether a member has reported that it runs a version."""
-        member = self._registry.members.get(name)
-        return (
-            member is not None
-            and member.running_version == number
-            and not member.runs_foreign_version
-        )
-
-    async def _send_version(self, write: Write, name: str, number: int, base_number: int) -> None:
-        data = self._encoded_version(number, base_number)
+    async def _send_version(self, write: Write, name: str, to_send: VersionToSend) -> None:
+        data = self._encoded_version(to_send.number, to_send.base_number)
         await write(data)
         self._counters.bytes_sent += len(data)
         self._counters.versions_sent += 1
         member = self._registry.members.get(name)
         if member is not None:
-            member.sent_version = number
+            member.sent_version = to_send.number
 
     def _encoded_version(self, number: int, base_number: int) -> bytes:
         """Return the frames of a version for a member that has the version ``base_number``.
--- a/tests/control_plane/test_rejected_versions.py
+++ b/tests/control_plane/test_rejected_versions.py
@@ -1,12 +1,12 @@
 """A balancer that rejected a version receives the next ones, on the same stream and on new ones."""
 
-import msgspec
 import pytest
 
+from pepperhook.control_plane import version_streams
 from pepperhook.control_plane.frames import FrameReader, MissingBaseError, encode_version
+from pepperhook.control_plane.member_stream import VersionToSend
 from pepperhook.control_plane.rollout import RolloutState
 from pepperhook.control_plane.stream_request import read_stream_request
-from pepperhook.control_plane.version_streams import VersionStreams
 from pepperhook.server.extensions import Extensions
 from tests.control_plane.helpers import (
     RunningControlService,
@@ -82,29 +82,26 @@
             assert control.stream.broken_streams == 0
 
 
-class EarlierService:
-    """Makes the service send versions as that of the earlier release: as patches of the last one.
+class EarlierMemberStream:
+    """Decides as the earlier release: each version is a patch of the one processed before.
 
     It read only the number of the last version that a balancer had applied or rejected.
     """
 
-    def __init__(self, monkeypatch):
-        feed = VersionStreams.feed
-        monkeypatch.setattr(VersionStreams, "_known_base", lambda _, opened: opened.base_number)
-        monkeypatch.setattr(VersionStreams, "_runs", lambda *_: True)
-        monkeypatch.setattr(
-            VersionStreams,
-            "feed",
-            lambda streams, write, opened: feed(
-                streams, write, msgspec.structs.replace(opened, base_number=opened.processed_number)
-            ),
-        )
+    def __init__(self, opened, _has_version):
+        self.processed_number = opened.processed_number
+
+    def next_version(self, desired_number, _running_number):
+        if desired_number in (self.processed_number, 0):
+            return None
+        base_number, self.processed_number = self.processed_number, desired_number
+        return VersionToSend(desired_number, base_number)
 
 
 async def test_a_rollback_of_an_earlier_service_reaches_the_balancer_by_a_complete_version(
     tmp_path, monkeypatch
 ):
-    EarlierService(monkeypatch)
+    monkeypatch.setattr(version_streams, "MemberStream", EarlierMemberStream)
     async with (
         ScriptedPeer(always(make_response())) as upstream,
         RunningControlService(tmp_path / "s") as control_service,
