--- a/pepperhook/idempotency/journal/recovery.py
+++ b/pepperhook/idempotency/journal/recovery.py
@@ -95,9 +95,7 @@
     return torn
 
 
-def _add_records(
-    recovery: Recovery, path: Path, payloads: list[memoryview], now_ns: int
-) -> None:
+def _add_records(recovery: Recovery, path: Path, payloads: list[memoryview], now_ns: int) -> None:
     if not payloads:
         return
     try:
--- a/pepperhook/idempotency/journal/writer.py
+++ b/pepperhook/idempotency/journal/writer.py
@@ -111,9 +111,7 @@
         try:
             fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as error:
-            raise JournalUnusableError(
-                f"{self.directory}: another process has it open"
-            ) from error
+            raise JournalUnusableError(f"{self.directory}: another process has it open") from error
 
     def _unlock(self) -> None:
         if self._lock_file is not None:
