A list without a reason for its failure holds for the settings' time without health checks

Cause: since the list is good for 6 s after its confirmation, and past it upstreams are sent to by health checks alone. The settings' page allows four times the polling time after a failed call (40 s there); the 6 s are of a service that could be reached.

Change: the first of some failed polls without a reason, which only the simulated wire has, holds the list for that time after its last confirmation, where health checks are forbidden. On sockets, and where they are allowed, nothing changes; the state's shape is the same.

--- a/pepperhook/domain.py
+++ b/pepperhook/domain.py
@@ -77,6 +77,8 @@
     UNREACHABLE = "unreachable"  # the connection failed or was lost
     REFUSED = "refused"  # the response was not an endpoint list
     SILENT = "silent"  # no response within the timeout
+    # The host reports no reason. Then the settings alone say for how long the list holds.
+    UNSPECIFIED = "unspecified"
 
 
 class Upstream:
--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -15,6 +15,8 @@
 # Mean interval between the first polls of a fleet that starts together; minimum length of a poll round (see
 # poll_backoff).
 START_INTERVAL, MIN_ROUND = 100 * MILLISECOND, SECOND
+# By the settings, a list holds so many times longer after a failed poll than without one.
+FAILED_POLL_FACTOR = 4
 # Maximum length of rounds after failures that put no load on the service.
 LONGEST_ROUNDS = {PollFailure.UNREACHABLE: 3 * SECOND, PollFailure.SILENT: SECOND}
 # An outage of some seconds causes two failed polls; more are taken for overload, and rounds double.
@@ -78,11 +80,23 @@
         is_held = self.is_confirmed and now > self.good_until - self.notified_after + POLL_TIMEOUT
         if is_held and failure is not PollFailure.SILENT:
             self.good_until = now + self.notified_after  # a held watch reported all changes up to its end
+        if not self.backoff.failed_polls and failure is PollFailure.UNSPECIFIED:
+            self._hold_by_settings()
         jitter, longest = self.balancer.random(), LONGEST_ROUNDS.get(failure)
         self.planned_at = self.backoff.next_poll(now + retry_after, *self.settings.position, jitter, longest)
         self.balancer.call_at(self.planned_at, self._watch, self.planned_at)
         self.is_watching = self.is_confirmed = False
 
+    def _hold_by_settings(self) -> None:
+        """Hold the list for as long as the settings allow after the first of some failed polls.
+
+        Only where no health check can show an upstream's state in the meantime.
+        """
+        if not self.settings.may_health_check:
+            confirmed_at = self.good_until - self.notified_after
+            held_until = confirmed_at + FAILED_POLL_FACTOR * self.settings.endpoint_poll_within_ns
+            self.good_until = max(self.good_until, held_until)
+
     def is_stale(self, now: int, upstream: Upstream) -> bool:
         """Rule 3: return whether the upstream may be draining or gone without this balancer's knowledge.
 
--- a/pepperhook/sim_adapter/instance.py
+++ b/pepperhook/sim_adapter/instance.py
@@ -9,7 +9,14 @@
 
 from pepperhook.actions import Action, FailRequest, RejectRequest
 from pepperhook.balancer import Balancer
-from pepperhook.domain import Attempt, EndpointUpdate, LoadReport, Request, Upstream
+from pepperhook.domain import (
+    Attempt,
+    EndpointUpdate,
+    LoadReport,
+    PollFailure,
+    Request,
+    Upstream,
+)
 from pepperhook.settings import Settings
 from pepperhook.settings import read as read_settings
 from pepperhook.sim_adapter import codec, protocol
@@ -103,7 +110,7 @@
     ) -> Sequence[Action]:
         _, scope, list_number = codec.unpack(protocol.FLEET_FIELDS, fields, "FLEET")
         if scope == protocol.FAILED:
-            return balancer.endpoint_poll_failed(now)
+            return balancer.endpoint_poll_failed(now, PollFailure.UNSPECIFIED)
         if list_number not in endpoint_lists:
             raise MalformedInputError(f"FLEET: no endpoint list has the number {list_number}")
         updates = [self._endpoint_update(entry) for entry in endpoint_lists[list_number]]
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -6,7 +6,7 @@
 from pepperhook.balancer import Balancer
 from pepperhook.domain import EndpointUpdate, Outcome, PollFailure, Request, Upstream, UpstreamState
 from pepperhook.policy import endpoints
-from pepperhook.policy.endpoints import NOTIFIED_AFTER, POLL_TIMEOUT
+from pepperhook.policy.endpoints import FAILED_POLL_FACTOR, NOTIFIED_AFTER, POLL_TIMEOUT
 from pepperhook.server import endpoint_discovery
 from tests.policy.simulation import PolicySimulation, make_settings
 
@@ -130,6 +130,36 @@
     assert not host.may_send_to_any()
 
 
+@pytest.mark.parametrize("may_health_check", [False, True])
+def test_list_holds_for_the_settings_time_after_a_failure_without_a_reason(may_health_check):
+    # Where health checks are forbidden, 80% of the requests were rejected in an outage of the list.
+    within = 10 * SECOND
+    host = Host(may_health_check=may_health_check, endpoint_poll_within_ns=within)
+    host.open_confirmed_watch()
+    answered_at = host.now
+    valid_for = NOTIFIED_AFTER if may_health_check else FAILED_POLL_FACTOR * within
+    host.fail_poll(PollFailure.UNSPECIFIED)
+
+    host.now = answered_at + valid_for
+    assert host.may_send_to_any()
+    host.now += 1
+    assert not host.may_send_to_any()
+
+
+def test_further_failures_without_a_reason_do_not_extend_that_time():
+    within = 10 * SECOND
+    host = Host(may_health_check=False, endpoint_poll_within_ns=within)
+    host.open_confirmed_watch()
+    answered_at = host.now
+    host.fail_poll(PollFailure.UNSPECIFIED)
+    while host.now <= answered_at + FAILED_POLL_FACTOR * within:
+        host.open_watch()
+        host.now += SECOND
+        host.fail_poll(PollFailure.UNSPECIFIED)
+
+    assert not host.may_send_to_any()
+
+
 def test_list_is_valid_for_the_notification_time_after_the_last_answer_of_a_silent_watch():
     host = Host(may_health_check=False)
     host.open_confirmed_watch()
