--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -80,7 +80,7 @@
         is_held = self.is_confirmed and now > self.good_until - self.notified_after + POLL_TIMEOUT
         if is_held and failure is not PollFailure.SILENT:
             self.good_until = now + self.notified_after  # a held watch reported all changes up to its end
-        if not self.backoff.failed_polls and failure is PollFailure.UNSPECIFIED:
+        if failure is PollFailure.UNSPECIFIED:
             self._hold_by_settings()
         jitter, longest = self.balancer.random(), LONGEST_ROUNDS.get(failure)
         self.planned_at = self.backoff.next_poll(now + retry_after, *self.settings.position, jitter, longest)
@@ -88,13 +88,12 @@
         self.is_watching = self.is_confirmed = False
 
     def _hold_by_settings(self) -> None:
-        """Hold the list for as long as the settings allow after the first of some failed polls.
+        """Hold the list for as long as the settings allow after the failed poll, from its beginning.
 
         Only where no health check can show an upstream's state in the meantime.
         """
         if not self.settings.may_health_check:
-            confirmed_at = self.good_until - self.notified_after
-            held_until = confirmed_at + FAILED_POLL_FACTOR * self.settings.endpoint_poll_within_ns
+            held_until = self.planned_at + FAILED_POLL_FACTOR * self.settings.endpoint_poll_within_ns
             self.good_until = max(self.good_until, held_until)
 
     def is_stale(self, now: int, upstream: Upstream) -> bool:
