The plant of a forgotten rejection needs a restart to be found

Cause: it reported every number ever signed as processed, so the first proposal was a violation without any restart; the check would have passed whatever a restart kept. Now only a rejected number survives the restart, and the test holds the shortest sequence to a rejected version whose last action is the restart. The check is stricter; no product code changes.

--- a/tests/control_plane/test_stream_explore.py
+++ b/tests/control_plane/test_stream_explore.py
@@ -46,20 +46,34 @@
 
 
 def forget_rejection(balancer):
-    """Restart a balancer that keeps the number it has processed, but not that it rejected it."""
-    return Balancer(running=balancer.running, saved=balancer.saved)
+    """Restart a balancer that keeps the number of a rejected version, but not that it rejected it.
+
+    Such a number is negative in the state.
+    """
+    kept = -abs(balancer.rejected_number)
+    return Balancer(running=balancer.saved, saved=balancer.saved, rejected_number=kept)
 
 
 class ForgetfulExplorer(Explorer):
-    """A balancer that stores the processed number on disk, and not the rejection."""
+    """A balancer that does not need a rejected version again after a restart, nor reports it."""
 
     def __init__(self):
         super().__init__(restart=forget_rejection)
 
+    def applier(self, balancer):
+        known = max(0, balancer.rejected_number)
+        return super().applier(msgspec.structs.replace(balancer, rejected_number=known))
+
     def stream_request(self, balancer):
         request = super().stream_request(balancer)
-        newest = max((version.number for version in self.versions.values()), default=0)
-        return msgspec.structs.replace(request, processed_number=newest)
+        kept = -balancer.rejected_number
+        return request if kept <= 0 else msgspec.structs.replace(request, processed_number=kept)
+
+    def report(self, state):
+        known = max(0, state.balancer.rejected_number)
+        shown = msgspec.structs.replace(state.balancer, rejected_number=known)
+        after = super().report(msgspec.structs.replace(state, balancer=shown))
+        return None if after is None else msgspec.structs.replace(after, balancer=state.balancer)
 
 
 def test_a_rejection_that_a_restart_forgets_is_reported():
@@ -67,6 +81,8 @@
 
     assert violation is not None
     assert violation.rule == SETTLED
+    assert any("harmful is proposed" in action for action in violation.actions)
+    assert violation.actions[-1].startswith("the balancer restarts")
 
 
 def test_a_forged_version_that_does_not_end_its_stream_is_reported(monkeypatch):
