Review: a script that is ended by a signal ends its balancers

Seen: SIGTERM in the middle of review/3/run.sh left its balancer and temporary folder. A signal now cancels the play, whose end kills what it started, with exit code 2; so does any error of the case, which exit code 1 could have been taken for.

--- a/review/common.py
+++ b/review/common.py
@@ -407,7 +407,21 @@
         writer.close()
 
 
-def run_case(file: str, play: Callable[[Record, Path, bool], Awaitable[int]]) -> None:
+Play = Callable[[Record, Path, bool], Awaitable[int]]
+
+
+async def _play_until_signal(play: Play, record: Record, folder: Path, disrupt: bool) -> int:
+    """Run ``play``; a signal that ends the script cancels it, so that it ends its processes."""
+    task = asyncio.ensure_future(play(record, folder, disrupt))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        raise CaseError("ended by a signal") from None
+
+
+def run_case(file: str, play: Play) -> None:
     """Run ``play`` with the record, a temporary folder and whether to disrupt; exit by its result.
 
     TROUBLE=0 in the environment plays the case without the disruption.
@@ -417,8 +431,9 @@
     record.note(f"begin trouble={int(disrupt)}")
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     try:
-        result = asyncio.run(play(record, folder, disrupt))
-    except (CaseError, OSError, TimeoutError) as error:
+        result = asyncio.run(_play_until_signal(play, record, folder, disrupt))
+    except Exception as error:
+        # Whatever fails here is a fault of the case: exit code 1 is kept for a broken rule.
         record.note(f"could not run: {type(error).__name__}: {error}")
         result = COULD_NOT_RUN
     finally:
