Peers: the log tells which earlier member lists a balancer knows

Whether an edge balancer accepts a key because it knows no earlier list, or because it counts the former owner as released, or because the lists had settled, could not be told apart: the log had the epoch alone. member_lists_restored, at each start, and member_list_applied now name the epochs of the earlier lists whose owners a key's new owner waits for.

--- a/pepperhook/idempotency/peers.py
+++ b/pepperhook/idempotency/peers.py
@@ -83,6 +83,7 @@
         if journal_directory is not None:
             self._history = MemberListHistory(journal_directory)
         self._restore_lists(host.runtime.now())
+        self._log_known_lists("member_lists_restored")
         self._save_history()
         self._server = peer_server.listen(host, self.ownership)
         self._watcher = host.runtime.supervisor.start("idempotency peers", self._watch)
@@ -127,6 +128,16 @@
             self.counters.history_failures += 1
             self._log.warning("member_list_history_not_saved", path=self._history.path, error=error)
 
+    def _log_known_lists(self, event: str) -> None:
+        """Log the current list, and the earlier ones whose owners a key's new owner waits for."""
+        ownership = self.ownership
+        self._log.info(
+            event,
+            epoch=ownership.current.epoch,
+            members=len(ownership.current.members),
+            earlier_epochs=[earlier.epoch for earlier in ownership.previous],
+        )
+
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -142,7 +153,7 @@
             return
         current = self.ownership.current
         if self.ownership.replace(self._host.runtime.now(), members):
-            self._log.info("member_list_applied", epoch=members.epoch, members=len(members.members))
+            self._log_known_lists("member_list_applied")
             self._save_history()
         elif members != current:
             self._log.warning(
