Idempotency peers: following the member list is a module of its own

Peers had two jobs, following the list and forwarding requests. MemberListFollower now has the file, the history, the ownership and the polls of members; Peers forwards.

--- a/pepperhook/idempotency/peers.py
+++ b/pepperhook/idempotency/peers.py
@@ -1,4 +1,4 @@
-"""Forwards requests to the edge balancer that owns their key, and applies new member lists.
+"""Forwards requests to the edge balancer that owns their key.
 
 The owner stores the key, records it, runs the request and responds, and the forwarding balancer
 relays the response. All decisions on a key are thus made in one process. If the owner can't be
@@ -12,14 +12,13 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
 from msgspec import Struct
 from msgspec.structs import asdict
 
 from pepperhook.idempotency import peer_server
 from pepperhook.idempotency.host import Host, Log
-from pepperhook.idempotency.member_list import MemberListFile, MemberListHistory
-from pepperhook.idempotency.ownership import Member, MemberList, Ownership
+from pepperhook.idempotency.member_list_follower import MemberListFollower
+from pepperhook.idempotency.ownership import Member, Ownership
 from pepperhook.idempotency.peer_client import MAYBE_RECEIVED_ERRORS, NOT_SENT_ERRORS, PeerClient
 from pepperhook.idempotency.peer_protocol import (
     EPOCH_HEADER,
@@ -32,18 +31,16 @@
 from pepperhook.idempotency.service_classes import ServiceClassPolicy, class_number, is_safe
 
 NS_PER_S = 10**9
-POLL_INTERVAL_S = 0.5  # between checks of the file and of members with an older list
 RETURN_MARGIN_NS = 5 * 10**6  # part of a time limit that is reserved for relaying the response
 RETRY_AFTER_NS = NS_PER_S  # Retry-After while a key's owner is unreachable or changing
 
 
 class PeerCounters(Struct):
-    """Counters of requests whose key another member owns or owned, and of failed saves."""
+    """Counters of requests whose key another member owns or owned."""
 
     forwarded: int = 0
     owner_unreachable: int = 0
     ownership_pending: int = 0
-    history_failures: int = 0
 
 
 class Peers:
@@ -56,19 +53,21 @@
 
     def __init__(self, path: str, own_name: str, log: Log) -> None:
         """Read the member list. Raises ValueError with a one-line message."""
-        self.file = MemberListFile(path, own_name)
-        self.ownership = Ownership(own_name, self.file.read(), [], 0)
         self.counters = PeerCounters()
-        self._log = log
         self._client = PeerClient()
+        self.lists = MemberListFollower(path, own_name, self._client, log)
         self._forwarding_tasks: set[asyncio.Task[Reply | None]] = set()
         self._policies: Sequence[ServiceClassPolicy] = ()
         self._max_retry_after_ns = 0
-        self._history: MemberListHistory | None = None
         self._host: Host
         self._server: Any = None
         self._watcher: asyncio.Task[None]
 
+    @property
+    def ownership(self) -> Ownership:
+        """The owners of keys according to the lists that this member knows."""
+        return self.lists.ownership
+
     def start(
         self,
         host: Host,
@@ -76,103 +75,14 @@
         max_retry_after_ns: int,
         journal_directory: Path | None,
     ) -> None:
-        """Start the listener for other members, and the task that watches the member list."""
+        """Start the listener for other members, and the task that follows the member list."""
         self._host = host
         self._policies = policies
         self._max_retry_after_ns = max_retry_after_ns
-        if journal_directory is not None:
-            self._history = MemberListHistory(journal_directory)
-        self._restore_lists(host.runtime.now())
-        self._log_known_lists("member_lists_restored")
-        self._save_history()
+        longest_window_ns = max(policy.window_ns for policy in policies)
+        self.lists.start(host.runtime.now, longest_window_ns, journal_directory)
         self._server = peer_server.listen(host, self.ownership)
-        self._watcher = host.runtime.supervisor.start("idempotency peers", self._watch)
-
-    # The member list.
-
-    def _restore_lists(self, now_ns: int) -> None:
-        """Restore the lists that were saved when this process last ran."""
-        saved = self._load_history()
-        current = self.ownership.current
-        if saved and saved[-1].epoch > current.epoch:
-            self._log.warning(
-                "member_list_older_than_saved",
-                path=self.file.path,
-                epoch=current.epoch,
-                saved_epoch=saved[-1].epoch,
-            )
-            current = saved.pop()
-        self.ownership = Ownership(self.file.own_name, current, saved, now_ns)
-
-    def _load_history(self) -> list[MemberList]:
-        if self._history is None:
-            return []
-        try:
-            return self._history.load()
-        except (OSError, msgspec.MsgspecError) as error:
-            self._log.warning(
-                "member_list_history_unreadable", path=self._history.path, error=error
-            )
-            return []
-
-    def _save_history(self) -> None:
-        """Save the current and previous lists; after a failure, the next change saves them again.
-
-        Until then this member uses the lists in memory; only a restart would lose them.
-        """
-        if self._history is None:
-            return
-        try:
-            self._history.save([*self.ownership.previous, self.ownership.current])
-        except OSError as error:
-            self.counters.history_failures += 1
-            self._log.warning("member_list_history_not_saved", path=self._history.path, error=error)
-
-    def _log_known_lists(self, event: str) -> None:
-        """Log the current list, and the earlier ones whose owners a key's new owner waits for."""
-        ownership = self.ownership
-        self._log.info(
-            event,
-            epoch=ownership.current.epoch,
-            members=len(ownership.current.members),
-            earlier_epochs=[earlier.epoch for earlier in ownership.previous],
-        )
-
-    async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
-            if self.file.has_changed():
-                self._reload()
-            await self._poll_members()
-
-    def _reload(self) -> None:
-        try:
-            members = self.file.read()
-        except ValueError as error:
-            self._log.warning("member_list_rejected", error=error)
-            return
-        current = self.ownership.current
-        if self.ownership.replace(self._host.runtime.now(), members):
-            self._log_known_lists("member_list_applied")
-            self._save_history()
-        elif members != current:
-            self._log.warning(
-                "member_list_rejected",
-                error=f"{self.file.path}: epoch {members.epoch} is not above {current.epoch}",
-            )
-
-    async def _poll_members(self) -> None:
-        """Poll the epochs of unconfirmed members; drop the previous lists when possible."""
-        if not self.ownership.previous:
-            return
-        for member in self.ownership.unconfirmed_members():
-            epoch = await self._client.poll_epoch(member)
-            if epoch is not None:
-                self.ownership.note_epoch(self._host.runtime.now(), member.name, epoch)
-        longest_window_ns = max(policy.window_ns for policy in self._policies)
-        if self.ownership.settle(self._host.runtime.now(), longest_window_ns):
-            self._log.info("ownership_settled", epoch=self.ownership.current.epoch)
-            self._save_history()
+        self._watcher = host.runtime.supervisor.start("idempotency peers", self.lists.watch)
 
     # Routing.
 
@@ -231,7 +141,7 @@
 
     def counters_by_name(self) -> dict[str, int]:
         """Return counters for the operator."""
-        return asdict(self.counters)
+        return {**asdict(self.counters), "history_failures": self.lists.history_failures}
 
     # Shutdown.
 
--- a/tests/idempotency/test_peers.py
+++ b/tests/idempotency/test_peers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from pepperhook.idempotency import peers
+from pepperhook.idempotency import member_list_follower
 from pepperhook.idempotency.keys import key_digest
 from pepperhook.idempotency.member_list import MemberListHistory
 from pepperhook.idempotency.ownership import Member, owner_of
@@ -196,10 +196,10 @@
     async with ScriptedPeer(upstream) as peer:
         edge = edges.make("e0", peer)
         async with edge.balancer as balancer:
-            stamp = edge.extension.peers.file.stamp
+            stamp = edge.extension.peers.lists.file.stamp
 
             edges.path.write_text("version = 1\nepoch = 4\n")
-            await wait_until(lambda: edge.extension.peers.file.stamp != stamp, FILE_POLL_S)
+            await wait_until(lambda: edge.extension.peers.lists.file.stamp != stamp, FILE_POLL_S)
 
             assert edge.ownership.current.epoch == 1
             assert (await pay(balancer, key))[0] == 200
@@ -218,7 +218,7 @@
     def fail_to_save(*_):
         raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
-    monkeypatch.setattr(peers, "POLL_INTERVAL_S", FILE_POLL_S)
+    monkeypatch.setattr(member_list_follower, "POLL_INTERVAL_S", FILE_POLL_S)
     edges = Edges(tmp_path)
     members = Peers(str(edges.path), "e0", make_log())
     extension = make_extension(
--- a/tests/server/test_supervision.py
+++ b/tests/server/test_supervision.py
@@ -19,7 +19,8 @@
 from pepperhook.control_plane.history import HistoryStore
 from pepperhook.control_plane.service import ControlService
 from pepperhook.control_plane.stream_client import StreamClient
-from pepperhook.idempotency import peers
+from pepperhook.idempotency import member_list_follower
+from pepperhook.idempotency.peers import Peers
 from pepperhook.membership.extension import Gossip
 from pepperhook.membership.protocol import SwimProtocol
 from pepperhook.operator_config.schema import CaptureTable
@@ -107,14 +108,14 @@
     path = directory / "peers.toml"
     members = f'[[members]]\nname = "n"\naddress = "127.0.0.1:{free_port()}"\n'
     path.write_text(f"version = 1\nepoch = 1\n{members}")
-    followed = peers.Peers(str(path), "n", make_log())
+    followed = Peers(str(path), "n", make_log())
     return make_idempotency(followed, window_s={"pay": 1.0}, journal=str(directory / "journal"))
 
 
 LONG_LIVED = {
     "control stream": (control, StreamClient, "_read_stream"),
     "control heartbeats": (control, Control, "_lower_fleet_size"),
-    "idempotency peers": (idempotency, peers.Peers, "_poll_members"),
+    "idempotency peers": (idempotency, member_list_follower.MemberListFollower, "_poll_members"),
     "gossip": (gossip, SwimProtocol, "tick"),
     "gossip socket": (gossip, Gossip, "_resolve_seeds"),
 }
@@ -124,7 +125,7 @@
 @pytest.mark.parametrize("name", LONG_LIVED)
 async def test_long_lived_task_survives_an_unexpected_error(name, tmp_path, monkeypatch):
     make, owner, method = LONG_LIVED[name]
-    monkeypatch.setattr(peers, "POLL_INTERVAL_S", 0.01)
+    monkeypatch.setattr(member_list_follower, "POLL_INTERVAL_S", 0.01)
     failing, calls = fail_once(getattr(owner, method))
     monkeypatch.setattr(owner, method, failing)
     async with (
