Edge balancers report the lists that they know; one that lacks some takes over no key

Cause: a key's new owner waits for the former owners in the earlier lists that it knows itself. A member that was added knows none, so it waited for nobody. The same holds for one that was down, or not listed, while a list was in force, skipped a list, or lost its members.json.

Evidence: the log of edge-b says epoch=2 earlier_epochs=[], its counters new=14 ownership_pending=0, edge-a's replay=10, so that digests and forwarding agree. With list 1 put into edge-b's folder before its start and nothing else changed: earlier_epochs=[1], ownership_pending=14, none ran twice.

Change: a member knows whether its lists are complete. Consecutive epochs show that none is missing, epoch 1 that there is none before. Otherwise it accepts no key (or, if it ran all the time, none that was another's) until a member that knows all has reported its lists over the peers' port; it learns them and waits for their owners as before. If nobody knows all, it waits for all members' reports and a window. members.json says while it is incomplete. Members with complete lists ask for nothing more than before, and a member that starts with epoch 1 serves at once.

--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -24,7 +24,6 @@
     from pepperhook.server.messages import Header
 
 WINDOW_TIMEOUT_S = 5  # maximum wait for the client to open a window for its response
-HEALTH_PATH = "/_health"
 
 
 class ServerStream(OutgoingStream):
@@ -77,8 +76,9 @@
     def handle_headers(self, event: RequestReceived) -> None:
         """Check the headers; respond immediately to a health check or an invalid request."""
         path = self.target.partition("?")[0]
-        if path == HEALTH_PATH and self.method == "GET":
-            status, text = self.connection.ingress.health()
+        own_page = self.connection.ingress.own_page(self.method, path)
+        if own_page is not None:
+            status, text = own_page
             self._start_own_response(status, [("Content-Type", PLAIN_TEXT)], text.encode())
             return
         try:
--- a/pepperhook/idempotency/member_list.py
+++ b/pepperhook/idempotency/member_list.py
@@ -7,7 +7,7 @@
 
 from pepperhook import tomlfile
 from pepperhook.errors import PepperhookError
-from pepperhook.idempotency.ownership import MemberList
+from pepperhook.idempotency.ownership import KnownLists, MemberList
 
 HISTORY_FILE = "members.json"
 MAX_PORT = 65535
@@ -19,6 +19,15 @@
     """The file can't be used; the one-line message names file and key."""
 
 
+class NotListedError(MemberListError):
+    """A valid list does not have this member; ``epoch`` is its number."""
+
+    def __init__(self, message: str, epoch: int) -> None:
+        """Describe the list in a one-line message."""
+        super().__init__(message)
+        self.epoch = epoch
+
+
 class MemberListFile:
     """The member list file, written by an operator and identical for all members."""
 
@@ -43,19 +52,18 @@
     def read(self) -> MemberList:
         """Read and check the list. Raises ValueError with a one-line message."""
         members: MemberList = tomlfile.read(self.path, MemberList)
-        self._check_names(members)
-        for member in members.members:
-            self._check_address(member.name, member.address)
-        return members
-
-    def _check_names(self, members: MemberList) -> None:
         names = [member.name for member in members.members]
         if len(set(names)) != len(names):
             raise MemberListError(f"{self.path}: members: a name is listed twice")
+        for member in members.members:
+            self._check_address(member.name, member.address)
         if self.own_name not in names:
-            raise MemberListError(
-                f"{self.path}: members: {self.own_name!r} (LB_NAME) is not among {', '.join(names)}"
+            raise NotListedError(
+                f"{self.path}: members: {self.own_name!r} (LB_NAME) "
+                f"is not among {', '.join(names)}",
+                members.epoch,
             )
+        return members
 
     def _check_address(self, name: str, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -66,28 +74,31 @@
 
 
 class MemberListHistory:
-    """The previous lists that are still needed, and the current one, oldest first, on disk.
+    """The previous lists that are still needed, and the current one, on disk.
 
-    A member that was down during a change needs the previous list to detect the change.
+    A member that was down during a change needs the previous list to detect the change. The file
+    has an array of lists, oldest first; while lists may be missing, it has an object with this
+    array, which an earlier build, without reports of lists, can't mistake for a complete one.
     """
 
     def __init__(self, directory: Path) -> None:
         """Use a file in ``directory``, which is the journal's."""
         self.path = directory / HISTORY_FILE
 
-    def load(self) -> list[MemberList]:
+    def load(self) -> KnownLists:
         """Read the lists; return none if nothing was saved. Raises OSError and MsgspecError."""
         try:
             data = self.path.read_bytes()
         except FileNotFoundError:
-            return []
-        return msgspec.json.decode(data, type=list[MemberList])
+            return KnownLists([], is_complete=False)
+        saved = msgspec.json.decode(data, type=list[MemberList] | KnownLists)
+        return saved if isinstance(saved, KnownLists) else KnownLists(saved, is_complete=True)
 
-    def save(self, lists: list[MemberList]) -> None:
+    def save(self, known: KnownLists) -> None:
         """Replace the saved lists atomically. Raises OSError."""
         temporary = self.path.with_suffix(".fresh")
         with temporary.open("wb") as file:
-            file.write(msgspec.json.encode(lists))
+            file.write(msgspec.json.encode(known.lists if known.is_complete else known))
             file.flush()
             os.fsync(file.fileno())
         temporary.replace(self.path)
--- a/pepperhook/idempotency/member_list_follower.py
+++ b/pepperhook/idempotency/member_list_follower.py
@@ -1,4 +1,4 @@
-"""Follows the member list: applies new versions of its file, and learns when others have them."""
+"""Follows the member list: applies new versions of its file, and asks other members for theirs."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,9 +7,21 @@
 import msgspec
 
 from pepperhook.idempotency.host import Log
-from pepperhook.idempotency.member_list import MemberListFile, MemberListHistory
-from pepperhook.idempotency.ownership import MemberList, Ownership
+from pepperhook.idempotency.member_list import (
+    MemberListFile,
+    MemberListHistory,
+    NotListedError,
+)
+from pepperhook.idempotency.ownership import (
+    Knowledge,
+    KnownLists,
+    Member,
+    MemberList,
+    Ownership,
+    knowledge_at_start,
+)
 from pepperhook.idempotency.peer_client import PeerClient
+from pepperhook.idempotency.peer_protocol import KnownEpochs
 
 POLL_INTERVAL_S = 0.5  # between checks of the file and of members with an older list
 
@@ -26,6 +38,7 @@
         self._log = log
         self._history: MemberListHistory | None = None
         self._longest_window_ns = 0
+        self._silent_members: list[str] = []  # whose reports are missing, as last logged
         self._now: Callable[[], int]
 
     def start(
@@ -46,27 +59,35 @@
 
     def _restore_lists(self) -> None:
         saved = self._load_history()
+        previous = list(saved.lists)
         current = self.ownership.current
-        if saved and saved[-1].epoch > current.epoch:
+        if saved.epoch > current.epoch:
             self._log.warning(
                 "member_list_older_than_saved",
                 path=self.file.path,
                 epoch=current.epoch,
-                saved_epoch=saved[-1].epoch,
+                saved_epoch=saved.epoch,
             )
-            current = saved.pop()
-        self.ownership = Ownership(self.file.own_name, current, saved, self._now())
+            current = previous.pop()
+        self.ownership = Ownership(
+            self.file.own_name,
+            current,
+            previous,
+            self._now(),
+            knowledge_at_start(saved, current),
+        )
 
-    def _load_history(self) -> list[MemberList]:
+    def _load_history(self) -> KnownLists:
+        nothing = KnownLists([], is_complete=False)
         if self._history is None:
-            return []
+            return nothing
         try:
             return self._history.load()
         except (OSError, msgspec.MsgspecError) as error:
             self._log.warning(
                 "member_list_history_unreadable", path=self._history.path, error=error
             )
-            return []
+            return nothing
 
     def _save_history(self) -> None:
         """Save the current and previous lists; after a failure, the next change saves them again.
@@ -76,7 +97,7 @@
         if self._history is None:
             return
         try:
-            self._history.save([*self.ownership.previous, self.ownership.current])
+            self._history.save(self.ownership.known_lists)
         except OSError as error:
             self.history_failures += 1
             self._log.warning("member_list_history_not_saved", path=self._history.path, error=error)
@@ -89,20 +110,23 @@
             epoch=ownership.current.epoch,
             members=len(ownership.current.members),
             earlier_epochs=[earlier.epoch for earlier in ownership.previous],
+            knowledge=ownership.knowledge.value,
         )
 
     async def watch(self) -> None:
         """Check the file and the members periodically; runs until it is cancelled."""
         while True:
+            await self._poll_members()
             await asyncio.sleep(POLL_INTERVAL_S)
             if self.file.has_changed():
                 self._reload()
-            await self._poll_members()
 
     def _reload(self) -> None:
         try:
             members = self.file.read()
         except ValueError as error:
+            if isinstance(error, NotListedError):
+                self.ownership.note_removal(error.epoch)
             self._log.warning("member_list_rejected", error=error)
             return
         current = self.ownership.current
@@ -116,13 +140,48 @@
             )
 
     async def _poll_members(self) -> None:
-        """Poll the epochs of unconfirmed members; drop the previous lists when possible."""
-        if not self.ownership.previous:
+        """Ask the members whose reports are needed; drop the previous lists when possible."""
+        if self.ownership.is_settled:
             return
-        for member in self.ownership.unconfirmed_members():
-            epoch = await self._client.poll_epoch(member)
-            if epoch is not None:
-                self.ownership.note_epoch(self._now(), member.name, epoch)
+        known_before = self.ownership.known_lists
+        await asyncio.gather(*map(self._ask, self.ownership.members_to_ask()))
         if self.ownership.settle(self._now(), self._longest_window_ns):
             self._log.info("ownership_settled", epoch=self.ownership.current.epoch)
+        elif self.ownership.known_lists != known_before:
+            self._log_known_lists("member_lists_learned")
+        if self.ownership.known_lists != known_before:
             self._save_history()
+        self._log_silent_members()
+
+    async def _ask(self, member: Member) -> None:
+        """Ask a member for the lists that it knows, and note its report."""
+        epochs = await self._client.poll_known_epochs(member)
+        if epochs is None:
+            # An earlier build does not report its lists, but can be released all the same.
+            epoch = await self._client.poll_epoch(member)
+            if epoch is not None:
+                self.ownership.note_epoch(self._now(), member.name, epoch)
+            return
+        known = await self._fetch_lists(member, epochs)
+        if known is not None:
+            self.ownership.note_lists(self._now(), member.name, known)
+
+    async def _fetch_lists(self, member: Member, known: KnownEpochs) -> KnownLists | None:
+        """Return a member's lists; None if one could not be fetched, as it may just be dropped."""
+        own_lists = {members.epoch: members for members in self.ownership.known_lists.lists}
+        lists: list[MemberList] = []
+        for epoch in known.epochs:
+            members = own_lists.get(epoch) or await self._client.fetch_list(member, epoch)
+            if members is None:
+                return None
+            lists.append(members)
+        return KnownLists(lists, known.is_complete)
+
+    def _log_silent_members(self) -> None:
+        """Log, when it changes, whose reports are missing while keys are rejected for that."""
+        names: list[str] = []
+        if self.ownership.knowledge is not Knowledge.COMPLETE:
+            names = [member.name for member in self.ownership.members_to_ask()]
+        if names and names != self._silent_members:
+            self._log.warning("member_lists_incomplete", waits_for=names)
+        self._silent_members = names
--- a/pepperhook/idempotency/ownership.py
+++ b/pepperhook/idempotency/ownership.py
@@ -11,16 +11,24 @@
 list; from then on, the former owner accepts no request under the old list. Then it waits for the
 service class's window.
 
+A new owner can wait only for former owners that it knows. A member that was added, or did not run
+during a change, may not know all earlier lists. Others therefore report the lists that they know,
+and until one has reported that it knows all of them, such a member accepts no key that it may not
+have owned before. If nobody knows all, everything that the missing lists allowed has ended one
+window after all members have reported the current list.
+
 Times are whole nanoseconds.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
 from hashlib import blake2b
 from typing import Annotated
 
 from msgspec import Meta, Struct
 
 HASH_BYTES = 8
+FIRST_EPOCH = 1  # of a fleet's first list: there is no earlier one
 
 
 class Member(Struct, forbid_unknown_fields=True):
@@ -49,6 +57,38 @@
     return max(members, key=weight)
 
 
+class Knowledge(StrEnum):
+    """Which of the earlier lists that may still matter a member knows. The values are logged."""
+
+    COMPLETE = "complete"  # all of them
+    # Lists may be missing that were in force while this member ran with an older one. Keys that it
+    # owned by that list are still its own: nobody else accepts them before its release.
+    GAP = "gap"
+    # Lists may be missing that were in force while this member did not run or was not listed.
+    UNKNOWN = "unknown"
+
+
+class KnownLists(Struct, frozen=True):
+    """The lists that a member knows, oldest first; the last one is its current list."""
+
+    lists: list[MemberList]
+    is_complete: bool  # whether its knowledge is COMPLETE
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the current list; 0 if there is none."""
+        return self.lists[-1].epoch if self.lists else 0
+
+
+def knowledge_at_start(saved: KnownLists, current: MemberList) -> Knowledge:
+    """Return what a member knows that starts with these lists from its last run."""
+    if not saved.lists:
+        is_complete = current.epoch == FIRST_EPOCH
+    else:
+        is_complete = saved.is_complete and current.epoch <= saved.epoch + 1
+    return Knowledge.COMPLETE if is_complete else Knowledge.UNKNOWN
+
+
 class Ownership:
     """Ownership of keys as one member sees it. ``now_ns`` must never decrease between calls.
 
@@ -57,7 +97,12 @@
     """
 
     def __init__(
-        self, own_name: str, current: MemberList, previous: Sequence[MemberList], now_ns: int
+        self,
+        own_name: str,
+        current: MemberList,
+        previous: Sequence[MemberList],
+        now_ns: int,
+        knowledge: Knowledge = Knowledge.COMPLETE,
     ) -> None:
         """Set the current list; ``previous`` has the earlier ones.
 
@@ -68,45 +113,115 @@
         self.own_name = own_name
         self.current = current
         self.previous = [earlier for earlier in previous if earlier.epoch < current.epoch]
+        self.knowledge = knowledge
+        self._is_removed = False  # a list without this member followed the current one
         self._released_ns: dict[str, int] = {}  # by former owner: when released
+        self._reported: set[str] = set()  # members that reported their lists since the last change
         self._release_self_and_dead(now_ns)
 
+    # Lists.
+
     def replace(self, now_ns: int, candidate: MemberList) -> bool:
         """Apply a list if its epoch is higher than the current one; return whether it was."""
         if candidate.epoch <= self.current.epoch:
             return False
+        self._note_missed_lists(candidate)
         self.previous.append(self.current)
         self.current = candidate
         self._released_ns = {}
+        self._reported = set()
         self._release_self_and_dead(now_ns)
         return True
 
+    def _note_missed_lists(self, candidate: MemberList) -> None:
+        if self._is_removed:
+            self.knowledge = Knowledge.UNKNOWN
+        elif self.knowledge is Knowledge.COMPLETE and candidate.epoch > self.current.epoch + 1:
+            self.knowledge = Knowledge.GAP
+        self._is_removed = False
+
+    def note_removal(self, epoch: int) -> None:
+        """Note a list without this member. The current one stays until there is one with it."""
+        if epoch > self.current.epoch:
+            self._is_removed = True
+
     def _release_self_and_dead(self, now_ns: int) -> None:
         """Mark this member itself, and members that an operator declares dead, as released."""
         self.note_epoch(now_ns, self.own_name, self.current.epoch)
         for name in self.current.dead:
             self._released_ns.setdefault(name, now_ns)
 
+    @property
+    def known_lists(self) -> KnownLists:
+        """The lists that this member knows, to be saved and reported."""
+        return KnownLists(
+            [*self.previous, self.current], is_complete=self.knowledge is Knowledge.COMPLETE
+        )
+
+    # Reports of other members.
+
     def note_epoch(self, now_ns: int, name: str, epoch: int) -> None:
         """Note that a member has reported the epoch of its list."""
         if epoch >= self.current.epoch:
             self._released_ns.setdefault(name, now_ns)
 
+    def note_lists(self, now_ns: int, name: str, known: KnownLists) -> None:
+        """Note that a member has reported the lists that it knows; learn the missing ones."""
+        self._learn(known.lists)
+        self.note_epoch(now_ns, name, known.epoch)
+        if known.epoch == self.current.epoch:
+            self._reported.add(name)
+        # Nothing lies between consecutive epochs, so that who knows all before one of them knows
+        # all before the other.
+        if known.is_complete and self.current.epoch - 1 <= known.epoch <= self.current.epoch:
+            self.knowledge = Knowledge.COMPLETE
+
+    def _learn(self, lists: Iterable[MemberList]) -> None:
+        known_epochs = {earlier.epoch for earlier in self.previous}
+        self.previous += [
+            earlier
+            for earlier in lists
+            if earlier.epoch < self.current.epoch and earlier.epoch not in known_epochs
+        ]
+        self.previous.sort(key=lambda earlier: earlier.epoch)
+
+    def members_to_ask(self) -> list[Member]:
+        """Return the members whose reports are needed, with their latest known addresses."""
+        if self.knowledge is Knowledge.COMPLETE:
+            return self.unconfirmed_members()
+        not_needed = self._reported | {self.own_name, *self.current.dead}
+        by_name = self._latest_rows([*self.previous, self.current])
+        return [member for name, member in by_name.items() if name not in not_needed]
+
     def unconfirmed_members(self) -> list[Member]:
         """Return the members of previous lists that may still use one of these lists."""
-        by_name = {member.name: member for earlier in self.previous for member in earlier.members}
+        by_name = self._latest_rows(self.previous)
+        by_name.update((row.name, row) for row in self.current.members if row.name in by_name)
         return [member for name, member in by_name.items() if name not in self._released_ns]
 
+    @staticmethod
+    def _latest_rows(lists: Iterable[MemberList]) -> dict[str, Member]:
+        return {member.name: member for members in lists for member in members.members}
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no earlier list matters any more."""
+        return not self.previous and self.knowledge is Knowledge.COMPLETE
+
     def settle(self, now_ns: int, longest_window_ns: int) -> bool:
-        """Drop the previous lists when no longer needed; return whether none is left.
+        """Drop the previous lists when no longer needed; return whether none matters any more.
 
         They are needed until ``longest_window_ns`` after the last of their members was released.
+        After that time lists that nobody knows do not matter any more, either.
         """
-        if self.previous and not self.unconfirmed_members():
-            last_released_ns = max(self._released_ns.values(), default=0)
+        if not self.is_settled and not self.members_to_ask():
+            last_released_ns = max(self._released_ns.values())
             if now_ns >= last_released_ns + longest_window_ns:
                 self.previous.clear()
-        return not self.previous
+                self.knowledge = Knowledge.COMPLETE
+        return self.is_settled
+
+    # Keys.
 
     def owner(self, key: bytes) -> Member:
         """Return the owner of a key according to the current list."""
@@ -117,11 +232,13 @@
 
         For requests that must not run twice, whose service class has ``window_ns``.
         """
+        if self.knowledge is Knowledge.UNKNOWN:
+            return False
+        former_owners = {owner_of(key, earlier.members).name for earlier in self.previous}
+        if self.knowledge is Knowledge.GAP and former_owners != {self.own_name}:
+            return False
         return all(
-            self._is_window_after_release_over(
-                now_ns, owner_of(key, earlier.members).name, window_ns
-            )
-            for earlier in self.previous
+            self._is_window_after_release_over(now_ns, name, window_ns) for name in former_owners
         )
 
     def _is_window_after_release_over(self, now_ns: int, former_owner: str, window_ns: int) -> bool:
--- a/pepperhook/idempotency/peer_client.py
+++ b/pepperhook/idempotency/peer_client.py
@@ -1,20 +1,31 @@
-"""Client connections to other edge balancers, for forwarded requests and polls of epochs."""
+"""Client connections to other edge balancers, for forwarded requests and polls of lists."""
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
-from pepperhook.idempotency.ownership import Member
-from pepperhook.idempotency.peer_protocol import HEALTH_TARGET, decode_health
+from pepperhook.idempotency.ownership import Member, MemberList
+from pepperhook.idempotency.peer_protocol import (
+    HEALTH_TARGET,
+    LISTS_TARGET,
+    KnownEpochs,
+    decode_epochs,
+    decode_health,
+    decode_list,
+    list_target,
+)
 from pepperhook.server import http1_client
 from pepperhook.server.attempt_errors import AttemptError, NotSentError
 
 CONNECT_TIMEOUT_S = 0.3
-HEALTH_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S
+POLL_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S
 
 NOT_SENT_ERRORS = (NotSentError,)  # to be caught first: subclasses of AttemptError
 MAYBE_RECEIVED_ERRORS = (AttemptError,)  # the request may have been received
 
+Result = TypeVar("Result")
+
 
 class PeerClient:
     """The connections to all other members, by address."""
@@ -25,11 +36,24 @@
 
     async def poll_epoch(self, member: Member) -> int | None:
         """Return the epoch of a member's list, or None without a valid response."""
+        return await self._get(member, HEALTH_TARGET, decode_health)
+
+    async def poll_known_epochs(self, member: Member) -> KnownEpochs | None:
+        """Return the epochs of the lists that a member knows, or None without a valid response."""
+        return await self._get(member, LISTS_TARGET, decode_epochs)
+
+    async def fetch_list(self, member: Member, epoch: int) -> MemberList | None:
+        """Return a list that a member knows, or None without a valid response."""
+        return await self._get(member, list_target(epoch), decode_list)
+
+    async def _get(
+        self, member: Member, target: str, decode: Callable[[int, bytes], Result | None]
+    ) -> Result | None:
         try:
             status, _, body = await self._client_for(member).request(
-                "GET", HEALTH_TARGET, [], b"", HEALTH_TIMEOUT_S
+                "GET", target, [], b"", POLL_TIMEOUT_S
             )
-            return decode_health(status, body)
+            return decode(status, body)
         except (ValueError, *NOT_SENT_ERRORS, *MAYBE_RECEIVED_ERRORS):
             return None
 
--- a/pepperhook/idempotency/peer_protocol.py
+++ b/pepperhook/idempotency/peer_protocol.py
@@ -2,12 +2,17 @@
 
 A request is forwarded to the member that owns its key, with the epoch of the sender's member list
 in ``Pepperhook-Epoch``. An owner with another epoch responds with 421. ``GET /_health`` returns a
-member's epoch.
+member's epoch, ``GET /_member-lists`` the epochs of all lists that it knows, and
+``GET /_member-lists/EPOCH`` one of them. Earlier builds respond with 404 to the last two.
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Annotated, Any, TypeVar
 
+import msgspec
+from msgspec import Meta, Struct
+
+from pepperhook.idempotency.ownership import KnownLists, MemberList
 from pepperhook.idempotency.replies import (
     BAD_REQUEST,
     CONFLICT,
@@ -23,6 +28,7 @@
 TIMEOUT_HEADER = "X-Timeout-Ms"
 FORWARDED_HEADERS = ("X-Tenant-Id", "X-Cost", "X-Retried")
 HEALTH_TARGET = "/_health"
+LISTS_TARGET = "/_member-lists"
 
 OK = 200
 MISDIRECTED = 421
@@ -34,6 +40,8 @@
 
 _EPOCH_WORD = "epoch"
 
+Page = TypeVar("Page")
+
 
 def encode_health(epoch: int) -> str:
     """Return the body of a health response, which carries a member's epoch."""
@@ -48,6 +56,48 @@
     return int(number)
 
 
+class KnownEpochs(Struct, frozen=True):
+    """The epochs of the lists that a member knows, in ascending order; the last one is current."""
+
+    epochs: Annotated[list[int], Meta(min_length=1)]
+    is_complete: bool  # whether it knows all earlier lists that may still matter
+
+
+def list_target(epoch: int) -> str:
+    """Return the target of one list."""
+    return f"{LISTS_TARGET}/{epoch}"
+
+
+def lists_page(path: str, known: KnownLists) -> str | None:
+    """Return the body of a response on the lists that a member knows; None for other paths."""
+    if path == LISTS_TARGET:
+        epochs = [members.epoch for members in known.lists]
+        return msgspec.json.encode(KnownEpochs(epochs, known.is_complete)).decode()
+    for members in known.lists:
+        if path == list_target(members.epoch):
+            return msgspec.json.encode(members).decode()
+    return None
+
+
+def decode_epochs(status: int, body: bytes) -> KnownEpochs:
+    """Decode the epochs that a member knows. Raises ValueError if the response has none."""
+    return _decode_page(status, body, KnownEpochs)
+
+
+def decode_list(status: int, body: bytes) -> MemberList:
+    """Decode one list of a member. Raises ValueError if the response has none."""
+    return _decode_page(status, body, MemberList)
+
+
+def _decode_page(status: int, body: bytes, page_type: type[Page]) -> Page:
+    if status != OK:
+        raise ValueError(f"status {status}")
+    try:
+        return msgspec.json.decode(body, type=page_type)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from error
+
+
 def forwarded_headers(
     headers: Iterable[tuple[str, str]],
     read_headers: Mapping[str, Iterable[str]],
--- a/pepperhook/idempotency/peer_server.py
+++ b/pepperhook/idempotency/peer_server.py
@@ -6,7 +6,13 @@
 
 from pepperhook.idempotency.host import Host
 from pepperhook.idempotency.ownership import MemberList, Ownership
-from pepperhook.idempotency.peer_protocol import EPOCH_HEADER, MISDIRECTED, encode_health
+from pepperhook.idempotency.peer_protocol import (
+    EPOCH_HEADER,
+    MISDIRECTED,
+    OK,
+    encode_health,
+    lists_page,
+)
 from pepperhook.idempotency.replies import refused
 from pepperhook.server.http1_server import ConnectionLimits, Http1Server
 from pepperhook.server.ingress import Ingress
@@ -27,9 +33,14 @@
     def _epoch(self) -> int:
         return self.ownership.current.epoch
 
+    def own_page(self, method: str, path: str) -> tuple[int, str] | None:
+        """Return status and body of a health response or of the lists that this member knows."""
+        text = lists_page(path, self.ownership.known_lists) if method == "GET" else None
+        return super().own_page(method, path) if text is None else (OK, text)
+
     def health(self) -> tuple[int, str]:
         """Return status and body of a health response, which carries the epoch of the list."""
-        return 200, encode_health(self._epoch)
+        return OK, encode_health(self._epoch)
 
     def message(self, method: str, target: str, headers: Any, *rest: Any) -> Any:
         """Parse and validate a request.
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -142,8 +142,9 @@
         return await self._serve(request, RequestRefusedError(HTTPStatus.BAD_REQUEST, reason))
 
     async def _handle(self, request: Any) -> web.Response:
-        if request.path == "/_health" and request.method == "GET":
-            return _plain_response(*self.ingress.health())
+        own_page = self.ingress.own_page(request.method, request.path)
+        if own_page is not None:
+            return _plain_response(*own_page)
         try:
             return await self._forward(request)
         except RequestRefusedError as error:
--- a/pepperhook/server/ingress.py
+++ b/pepperhook/server/ingress.py
@@ -49,6 +49,7 @@
 NS_PER_MS = 10**6
 NS_PER_US = 1000
 
+HEALTH_PATH = "/_health"
 PLAIN_TEXT = "text/plain; charset=utf-8"
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 REJECTED_BODY = b"shed\n"  # a retry is harmless
@@ -133,6 +134,10 @@
         """Limit the deadlines of new requests to the time when connections are closed."""
         self.closes_at_ns = self.runtime.now() + int(closes_in_s * NS_PER_S)
 
+    def own_page(self, method: str, path: str) -> tuple[int, str] | None:
+        """Return status and text of this balancer's own page; None if upstreams serve the path."""
+        return self.health() if method == "GET" and path == HEALTH_PATH else None
+
     def health(self) -> tuple[int, str]:
         """Return status and text of the response to a health check of this balancer."""
         if self.discovery.ready:
--- a/tests/idempotency/test_formats.py
+++ b/tests/idempotency/test_formats.py
@@ -13,8 +13,16 @@
     encode_records,
 )
 from pepperhook.idempotency.keys import key_digest, request_fingerprint
-from pepperhook.idempotency.ownership import Member, owner_of
-from pepperhook.idempotency.peer_protocol import decode_health, encode_health, forwarded_headers
+from pepperhook.idempotency.ownership import KnownLists, Member, MemberList, owner_of
+from pepperhook.idempotency.peer_protocol import (
+    KnownEpochs,
+    decode_epochs,
+    decode_health,
+    decode_list,
+    encode_health,
+    forwarded_headers,
+    lists_page,
+)
 
 PREFIX = b"pepperhook repeats 1\n"
 HEADER_BLOCK = bytes.fromhex("080000007fa23fee5b180b4093a4626f6f740102")
@@ -104,3 +112,34 @@
 )
 def test_health_response_of_another_form_has_no_epoch(status, body):
     assert decode_health(status, body) is None
+
+
+def test_reported_member_lists_keep_their_format():
+    first = MemberList(version=1, epoch=1, members=[Member("a", "h:1")])
+    second = MemberList(version=1, epoch=2, members=[Member("b", "h:2")], dead=["a"])
+    known = KnownLists([first, second], is_complete=True)
+    epochs = '{"epochs":[1,2],"is_complete":true}'
+    members = '{"version":1,"epoch":2,"members":[{"name":"b","address":"h:2"}],"dead":["a"]}'
+
+    assert lists_page("/_member-lists", known) == epochs
+    assert lists_page("/_member-lists/2", known) == members
+    assert lists_page("/_member-lists/3", known) is None
+    assert lists_page("/_member-lists/", known) is None
+    assert decode_epochs(200, epochs.encode()) == KnownEpochs([1, 2], is_complete=True)
+    assert decode_list(200, members.encode()) == second
+
+
+@pytest.mark.parametrize(
+    "status, body",
+    [
+        (404, b"{}"),
+        (200, b""),
+        (200, b'{"epochs":[],"is_complete":true}'),
+        (200, b'{"epochs":[1]}'),
+    ],
+)
+def test_malformed_report_of_member_lists_is_refused(status, body):
+    with pytest.raises(ValueError):
+        decode_epochs(status, body)
+    with pytest.raises(ValueError):
+        decode_list(status, body)
--- a/tests/idempotency/test_member_list.py
+++ b/tests/idempotency/test_member_list.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pepperhook.idempotency.member_list import MemberListError, MemberListFile, MemberListHistory
-from pepperhook.idempotency.ownership import Member, MemberList
+from pepperhook.idempotency.ownership import KnownLists, Member, MemberList
 
 
 def write_list(path, *members):
@@ -46,12 +46,14 @@
     assert file.read().members == [Member("a", "h:1")]
 
 
-def test_history_is_loaded_in_the_order_in_which_it_was_saved(tmp_path):
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_history_is_loaded_as_it_was_saved(tmp_path, is_complete):
     history = MemberListHistory(tmp_path)
-    assert history.load() == []
+    assert history.load() == KnownLists([], is_complete=False)
     lists = [MemberList(version=1, epoch=epoch, members=[Member("a", "h:1")]) for epoch in (1, 2)]
+    known = KnownLists(lists, is_complete)
 
-    history.save(lists)
+    history.save(known)
 
-    assert MemberListHistory(tmp_path).load() == lists
+    assert MemberListHistory(tmp_path).load() == known
     assert [path.name for path in tmp_path.iterdir()] == ["members.json"]
--- a/tests/idempotency/test_peers.py
+++ b/tests/idempotency/test_peers.py
@@ -11,7 +11,7 @@
 from pepperhook.idempotency import member_list_follower
 from pepperhook.idempotency.keys import key_digest
 from pepperhook.idempotency.member_list import MemberListHistory
-from pepperhook.idempotency.ownership import Member, owner_of
+from pepperhook.idempotency.ownership import Knowledge, Member, owner_of
 from pepperhook.idempotency.peers import Peers
 from tests.idempotency.balancers import (
     BlockingUpstream,
@@ -190,6 +190,82 @@
                 await asyncio.sleep(0.05)
 
 
+async def test_added_member_rejects_keys_that_another_member_ran_before(edges):
+    """Guards against a member that is added, and knows no earlier list, running sales again."""
+    upstream, key, kept_key = BlockingUpstream(), edges.key_of("e1"), edges.key_of("e0")
+    upstream.release.set()
+    edges.write_list(1, ["e0"])
+    async with ScriptedPeer(upstream) as peer:
+        first = edges.make("e0", peer, LONG_WINDOW_S)
+        async with first.balancer as first_balancer:
+            assert await pay(first_balancer, key) == (200, b"run 1")
+            edges.write_list(2, edges.names)
+            await wait_for_epoch(first, 2)
+            added = edges.make("e1", peer, LONG_WINDOW_S)
+            async with added.balancer as added_balancer:
+                assert (await pay(added_balancer, key))[0] == 503, "e0 has the entry"
+                assert (await pay(first_balancer, key))[0] == 503, "it is e1's key now"
+                assert await pay(added_balancer, kept_key) == (200, b"run 2")
+                assert await pay(first_balancer, kept_key) == (200, b"run 2")
+                await wait_until(lambda: added.ownership.previous)
+                assert (await pay(added_balancer, key))[0] == 503, "its window is not over"
+                assert upstream.runs == 2
+
+                added_balancer.app.runtime.offset += int(LONG_WINDOW_S * 10**9)
+                assert (await pay(added_balancer, key))[0] == 200
+
+
+async def test_added_member_takes_over_no_key_while_nobody_tells_it_the_earlier_lists(edges):
+    upstream, key = BlockingUpstream(), edges.key_of("e1")
+    upstream.release.set()
+    edges.write_list(1, ["e0"])
+    async with ScriptedPeer(upstream) as peer:
+        first = edges.make("e0", peer, LONG_WINDOW_S)
+        async with first.balancer as first_balancer:
+            assert await pay(first_balancer, key) == (200, b"run 1")
+        edges.write_list(2, edges.names)
+        async with edges.make("e1", peer, LONG_WINDOW_S).balancer as added_balancer:
+            added_balancer.app.runtime.offset += int(2 * LONG_WINDOW_S * 10**9)
+            assert (await pay(added_balancer, key))[0] == 503, "e0 does not run"
+            assert (await added_balancer.request(Idempotency_Key="look"))[0] == 200
+    assert upstream.runs == 2, "the sale, and a safe request"
+
+
+async def test_member_that_missed_a_list_learns_it_from_the_others(edges):
+    """Guards against a member that was down during a change taking its old keys for its own."""
+    upstream, key = BlockingUpstream(), edges.key_of("e1")
+    upstream.release.set()
+    async with ScriptedPeer(upstream) as peer:
+        staying = edges.make("e0", peer, WINDOW_S)
+        async with staying.balancer as staying_balancer:
+            async with edges.make("e1", peer, WINDOW_S).balancer:
+                pass
+            edges.write_list(2, ["e0"], dead=["e1"])
+            await wait_for_epoch(staying, 2)
+            while (await pay(staying_balancer, key))[0] != 200:  # until the window is over
+                await asyncio.sleep(0.05)
+            edges.write_list(3, edges.names)
+            await wait_for_epoch(staying, 3)
+
+            back = edges.make("e1", peer, LONG_WINDOW_S)
+            async with back.balancer as back_balancer:
+                assert (await pay(back_balancer, key))[0] == 503, "e0 has the entry"
+                await wait_until(lambda: back.ownership.knowledge is Knowledge.COMPLETE)
+                assert [earlier.epoch for earlier in back.ownership.previous] == [1, 2]
+                assert (await pay(back_balancer, key))[0] == 503, "e0 has the entry"
+    assert upstream.runs == 1
+
+
+async def test_members_of_a_new_fleet_serve_at_once(edges):
+    upstream = BlockingUpstream()
+    upstream.release.set()
+    async with ScriptedPeer(upstream) as peer:
+        for name in edges.names:
+            edge = edges.make(name, peer)
+            async with edge.balancer as balancer:  # the other one does not run
+                assert (await pay(balancer, edges.key_of(name)))[0] == 200
+
+
 async def test_invalid_member_list_leaves_the_old_one_in_effect(edges):
     upstream, key = BlockingUpstream(), edges.key_of("e0")
     upstream.release.set()
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -439,7 +439,9 @@
 
 def test_member_lists_in_the_journals_folder_are_loaded(tmp_path):
     folder = copy_journal(tmp_path)
-    older, newer = MemberListHistory(folder).load()
+    known = MemberListHistory(folder).load()
+    assert known.is_complete
+    older, newer = known.lists
     assert (older.epoch, newer.epoch) == (3, 4) and (older.dead, newer.dead) == ([], ["edge-0"])
     addresses = {member.name: member.address for member in newer.members}
     assert addresses == {f"edge-{n}": f"127.0.0.1:{8999 + n}" for n in (1, 2, 3)}
