A member with an older list does not take over keys that a later one may give back

What callers could see: a request with a key runs a second time, if lists follow each other and one member reads its file late.

Cause: a former owner counted as released when it reported the new owner's epoch or any later one. With a later list it may own the key again.

Change: only the epoch of the member's own list releases. Such a member gets the later list itself, or is no member by it, so that nothing else waits.

--- a/pepperhook/idempotency/ownership.py
+++ b/pepperhook/idempotency/ownership.py
@@ -93,7 +93,7 @@
     """Ownership of keys as one member sees it. ``now_ns`` must never decrease between calls.
 
     A former owner is released once it has reported the current list or is declared dead: it accepts
-    no more requests under a previous list.
+    no more requests under a previous list, nor yet under a later one.
     """
 
     def __init__(
@@ -161,8 +161,12 @@
     # Reports of other members.
 
     def note_epoch(self, now_ns: int, name: str, epoch: int) -> None:
-        """Note that a member has reported the epoch of its list."""
-        if epoch >= self.current.epoch:
+        """Note that a member has reported the epoch of its list.
+
+        A later epoch does not release it: by a list that this member does not have yet, the keys
+        may be its own again.
+        """
+        if epoch == self.current.epoch:
             self._released_ns.setdefault(name, now_ns)
 
     def note_lists(self, now_ns: int, name: str, known: KnownLists) -> None:
--- a/tests/idempotency/test_ownership.py
+++ b/tests/idempotency/test_ownership.py
@@ -81,6 +81,18 @@
     assert ownership.may_accept(30 + WINDOW, moved, WINDOW)
 
 
+def test_former_owner_with_a_later_list_is_not_released(old, new):
+    """Guards against a member with an older list taking over keys that a later one gives back."""
+    moved = key_owned_by((old, "c"), (new, "a"))
+    ownership = Ownership("a", old, [], 0)
+    ownership.replace(10, new)
+
+    ownership.note_epoch(20, "c", 3)
+
+    assert not ownership.may_accept(FAR_FUTURE, moved, WINDOW), "c may own it by list 3"
+    assert not ownership.settle(FAR_FUTURE, WINDOW)
+
+
 def test_previous_lists_are_dropped_one_window_after_all_members_report_the_new_one(old, new):
     ownership = Ownership("a", old, [], 0)
     ownership.replace(10, new)
