A key's new owner also waits for requests that still ran as it changed owners

What callers could see: a sale runs a second time when its key moves to another edge balancer while it runs, and it is sent again in the last seconds of its window. No report of it; found by asking what else a new owner does not know of the former one.

Cause: the new owner waited for the window from the time when the former one had reported the new list. But a window counts from the end of a request, and one that was accepted just before the report may end a whole time limit later.

Evidence: test_key_that_still_ran_as_it_changed_owners..., on loopback: a sale runs at e0 as list 2 gives its key to e1, and ends after e1 has seen e0 with list 2; one window after that, with the sale's own window not over, e1 answered 200 and ran it again.

--- a/pepperhook/idempotency/extension.py
+++ b/pepperhook/idempotency/extension.py
@@ -67,6 +67,7 @@
         self.record_failures = 0
         self._cancel_abandoned_unsafe = table.cancels_unsafe
         self._tenant_names = service_classes.tenant_names(config)
+        self._longest_request_ns = service_classes.longest_request_ns(config)
         self._max_retry_after_ns = service_classes.max_retry_after_ns(config)
         self._log = log
         self._host: Host
@@ -106,7 +107,13 @@
             self._restore()
         if self.peers is not None:
             directory = None if self.journal is None else self.journal.directory
-            self.peers.start(host, self.policies, self._max_retry_after_ns, directory)
+            self.peers.start(
+                host,
+                self.policies,
+                self._longest_request_ns,
+                self._max_retry_after_ns,
+                directory,
+            )
 
     async def ready(self) -> None:
         """Ask the other members for their lists before a request is accepted."""
--- a/pepperhook/idempotency/member_list_follower.py
+++ b/pepperhook/idempotency/member_list_follower.py
@@ -39,20 +39,20 @@
         self._client = client
         self._log = log
         self._history: MemberListHistory | None = None
-        self._longest_window_ns = 0
+        self._longest_entry_ns = 0
         self._silent_members: list[str] = []  # whose reports are missing, as last logged
         self._now: Callable[[], int]
 
     def start(
-        self, now: Callable[[], int], longest_window_ns: int, journal_directory: Path | None
+        self, now: Callable[[], int], longest_entry_ns: int, journal_directory: Path | None
     ) -> None:
         """Restore the lists that were saved when this process last ran.
 
-        ``now`` returns the time in nanoseconds; ``longest_window_ns`` is that of all service
-        classes.
+        ``now`` returns the time in nanoseconds; ``longest_entry_ns`` is the longest time from the
+        start of a request to the end of its key's window.
         """
         self._now = now
-        self._longest_window_ns = longest_window_ns
+        self._longest_entry_ns = longest_entry_ns
         if journal_directory is not None:
             self._history = MemberListHistory(journal_directory)
         self._restore_lists()
@@ -159,7 +159,7 @@
         was_settled, was_outdated = ownership.is_settled, ownership.is_outdated
         known_before = ownership.known_lists
         await asyncio.gather(*map(self._ask, members))
-        if ownership.settle(self._now(), self._longest_window_ns) and not was_settled:
+        if ownership.settle(self._now(), self._longest_entry_ns) and not was_settled:
             self._log.info("ownership_settled", epoch=ownership.current.epoch)
         elif ownership.known_lists != known_before:
             self._log_known_lists("member_lists_learned")
--- a/pepperhook/idempotency/ownership.py
+++ b/pepperhook/idempotency/ownership.py
@@ -8,8 +8,8 @@
 therefore has a number, its epoch, which is sent with each forwarded request, and an owner accepts
 only requests of its own epoch. A new owner does not have the former owner's entries. Before it
 accepts a request that must not run twice, it waits until the former owner has reported the new
-list; from then on, the former owner accepts no request under the old list. Then it waits for the
-service class's window.
+list; from then on, the former owner accepts no request under the old list. Then it waits until the
+window of a request that the former owner accepted last is over.
 
 A new owner can wait only for former owners that it knows. A member that was added, or did not run
 during a change, may not know all earlier lists. Others therefore report the lists that they know,
@@ -229,15 +229,15 @@
         """Whether no earlier list matters any more."""
         return not self.previous and self.knowledge is Knowledge.COMPLETE
 
-    def settle(self, now_ns: int, longest_window_ns: int) -> bool:
+    def settle(self, now_ns: int, longest_entry_ns: int) -> bool:
         """Drop the previous lists when no longer needed; return whether none matters any more.
 
-        They are needed until ``longest_window_ns`` after the last of their members was released.
+        They are needed until ``longest_entry_ns`` after the last of their members was released.
         After that time lists that nobody knows do not matter any more, either.
         """
         if not self.is_settled and not self.missing_reports:
             last_released_ns = max(self._released_ns.values())
-            if now_ns >= last_released_ns + longest_window_ns:
+            if now_ns >= last_released_ns + longest_entry_ns:
                 self.previous.clear()
                 self.knowledge = Knowledge.COMPLETE
         return self.is_settled
@@ -248,22 +248,21 @@
         """Return the owner of a key according to the current list."""
         return owner_of(key, self.current.members)
 
-    def may_accept(self, now_ns: int, key: bytes, window_ns: int) -> bool:
+    def may_accept(self, now_ns: int, key: bytes, entry_ns: int) -> bool:
         """Return whether this member, as the key's owner, may accept a request.
 
-        For requests that must not run twice, whose service class has ``window_ns``.
+        For requests that must not run twice; ``entry_ns`` is the longest time from the start of
+        such a request to the end of its key's window.
         """
         if self.knowledge is Knowledge.UNKNOWN or self.is_outdated:
             return False
         former_owners = {owner_of(key, earlier.members).name for earlier in self.previous}
         if self.knowledge is Knowledge.GAP and former_owners != {self.own_name}:
             return False
-        return all(
-            self._is_window_after_release_over(now_ns, name, window_ns) for name in former_owners
-        )
+        return all(self._are_entries_over(now_ns, name, entry_ns) for name in former_owners)
 
-    def _is_window_after_release_over(self, now_ns: int, former_owner: str, window_ns: int) -> bool:
+    def _are_entries_over(self, now_ns: int, former_owner: str, entry_ns: int) -> bool:
         if former_owner == self.own_name:
             return True
         released_ns = self._released_ns.get(former_owner)
-        return released_ns is not None and now_ns >= released_ns + window_ns
+        return released_ns is not None and now_ns >= released_ns + entry_ns
--- a/pepperhook/idempotency/peers.py
+++ b/pepperhook/idempotency/peers.py
@@ -58,6 +58,7 @@
         self.lists = MemberListFollower(path, own_name, self._client, log)
         self._forwarding_tasks: set[asyncio.Task[Reply | None]] = set()
         self._policies: Sequence[ServiceClassPolicy] = ()
+        self._longest_request_ns = 0
         self._max_retry_after_ns = 0
         self._host: Host
         self._server: Any = None
@@ -72,15 +73,22 @@
         self,
         host: Host,
         policies: Sequence[ServiceClassPolicy],
+        longest_request_ns: int,
         max_retry_after_ns: int,
         journal_directory: Path | None,
     ) -> None:
-        """Start the listener for other members, and the task that follows the member list."""
+        """Start the listener for other members, and the task that follows the member list.
+
+        ``longest_request_ns``: the longest time limit of all service classes.
+        """
         self._host = host
         self._policies = policies
+        self._longest_request_ns = longest_request_ns
         self._max_retry_after_ns = max_retry_after_ns
         longest_window_ns = max(policy.window_ns for policy in policies)
-        self.lists.start(host.runtime.now, longest_window_ns, journal_directory)
+        self.lists.start(
+            host.runtime.now, longest_window_ns + longest_request_ns, journal_directory
+        )
         self._server = peer_server.listen(host, self.ownership)
         self._watcher = host.runtime.supervisor.start("idempotency peers", self.lists.watch)
 
@@ -105,8 +113,9 @@
         return task
 
     def _accept_as_owner(self, now_ns: int, key: bytes, request: Any) -> Reply | None:
-        window_ns = self._policies[class_number(request)].window_ns
-        if is_safe(request) or self.ownership.may_accept(now_ns, key, window_ns):
+        # A former owner's last request may have begun just before its release.
+        entry_ns = self._longest_request_ns + self._policies[class_number(request)].window_ns
+        if is_safe(request) or self.ownership.may_accept(now_ns, key, entry_ns):
             return None
         self.counters.ownership_pending += 1
         return self._rejected()
--- a/tests/idempotency/test_peers.py
+++ b/tests/idempotency/test_peers.py
@@ -28,6 +28,7 @@
 PAY = 1  # the number of the service class
 WINDOW_S = 0.4
 LONG_WINDOW_S = 300.0
+TIME_LIMIT_S = 2.0  # of all service classes
 FILE_POLL_S = 0.01
 
 
@@ -212,7 +213,7 @@
                 assert (await pay(added_balancer, key))[0] == 503, "its window is not over"
                 assert upstream.runs == 2
 
-                added_balancer.app.runtime.offset += int(LONG_WINDOW_S * 10**9)
+                added_balancer.app.runtime.offset += int((LONG_WINDOW_S + TIME_LIMIT_S) * 10**9)
                 assert (await pay(added_balancer, key))[0] == 200
 
 
@@ -232,6 +233,29 @@
     assert upstream.runs == 2, "the sale, and a safe request"
 
 
+async def test_key_that_still_ran_as_it_changed_owners_is_rejected_for_its_whole_window(edges):
+    """Guards against a new owner that counts the window from the former one's release alone."""
+    upstream, key = BlockingUpstream(), edges.key_of("e1")
+    edges.write_list(1, ["e0"])
+    async with ScriptedPeer(upstream) as peer:
+        first = edges.make("e0", peer, LONG_WINDOW_S)
+        async with first.balancer as first_balancer:
+            request = asyncio.ensure_future(pay(first_balancer, key))
+            await upstream.wait_for_runs()
+            edges.write_list(2, edges.names)
+            await wait_for_epoch(first, 2)
+            added = edges.make("e1", peer, LONG_WINDOW_S)
+            async with added.balancer as added_balancer:
+                await wait_until(lambda: not added.ownership.missing_reports)
+                upstream.release.set()
+                assert (await request)[0] == 200
+
+                added_balancer.app.runtime.offset += int(LONG_WINDOW_S * 10**9)
+                assert (await pay(added_balancer, key))[0] == 503, "it ended after the release"
+                added_balancer.app.runtime.offset += int(TIME_LIMIT_S * 10**9)
+                assert (await pay(added_balancer, key))[0] == 200
+
+
 async def test_member_that_missed_a_list_learns_it_from_the_others(edges):
     """Guards against a member that was down during a change taking its old keys for its own."""
     upstream, key = BlockingUpstream(), edges.key_of("e1")
