--- a/pepperhook/idempotency/extension.py
+++ b/pepperhook/idempotency/extension.py
@@ -118,7 +118,7 @@
     async def ready(self) -> None:
         """Ask the other members for their lists before a request is accepted."""
         if self.peers is not None:
-            await self.peers.lists.ask_at_start()
+            await self.peers.lists.ask_members()
 
     def _restore(self) -> None:
         recovery, self._recovery = self._recovery, None
--- a/pepperhook/idempotency/member_list_follower.py
+++ b/pepperhook/idempotency/member_list_follower.py
@@ -25,7 +25,7 @@
 from pepperhook.idempotency.peer_protocol import KnownEpochs
 
 POLL_INTERVAL_S = 0.5  # between checks of the file and of members with an older list
-MAX_START_DELAY_S = 1.0
+ASK_TIMEOUT_S = 1.0  # for all responses of one member
 
 
 class MemberListFollower:
@@ -144,14 +144,11 @@
                 error=f"{self.file.path}: epoch {members.epoch} is not above {current.epoch}",
             )
 
-    async def ask_at_start(self) -> None:
-        """Ask the members before requests are accepted; ``watch`` asks late ones again."""
-        with suppress(TimeoutError):
-            async with asyncio.timeout(MAX_START_DELAY_S):
-                await self.ask_members()
-
     async def ask_members(self) -> None:
-        """Ask the members whose reports are needed; drop the previous lists when possible."""
+        """Ask the members whose reports are needed; drop the previous lists when possible.
+
+        Takes ASK_TIMEOUT_S at most.
+        """
         ownership = self.ownership
         members = ownership.members_to_ask()
         if ownership.is_settled and not members:
@@ -172,6 +169,11 @@
         self._log_silent_members()
 
     async def _ask(self, member: Member) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                await self._note_report(member)
+
+    async def _note_report(self, member: Member) -> None:
         """Ask a member for the lists that it knows, and note its report."""
         try:
             epochs = await self._client.poll_known_epochs(member)
--- a/pepperhook/idempotency/peer_client.py
+++ b/pepperhook/idempotency/peer_client.py
@@ -48,9 +48,10 @@
         """Return a list that a member knows, or None without a valid response."""
         response = await self._get(member, list_target(epoch))
         try:
-            return None if response is None else decode_list(*response)
+            members = None if response is None else decode_list(*response)
         except ValueError:
             return None
+        return members if members is not None and members.epoch == epoch else None
 
     async def _get(self, member: Member, target: str) -> tuple[int, bytes] | None:
         """Return status and body of a member's response, or None without one."""
