An edge balancer that ran without a member list counts as the owner of that time

No report of it; found by asking which member could lack knowledge when there is no earlier list at all.

Cause: epoch 1 counted as a fleet's beginning. The edge that ran before owned all keys, but no list said so, and nobody waited for it.

Others wait for it as for any former owner. A new fleet has no entries and serves at once. A file's epoch is 1 or more, as before.

--- a/pepperhook/idempotency/extension.py
+++ b/pepperhook/idempotency/extension.py
@@ -113,6 +113,7 @@
                 self._longest_request_ns,
                 self._max_retry_after_ns,
                 directory,
+                has_entries=len(self.store.recovered) > 0,
             )
 
     async def ready(self) -> None:
--- a/pepperhook/idempotency/member_list.py
+++ b/pepperhook/idempotency/member_list.py
@@ -7,7 +7,7 @@
 
 from pepperhook import tomlfile
 from pepperhook.errors import PepperhookError
-from pepperhook.idempotency.ownership import KnownLists, MemberList
+from pepperhook.idempotency.ownership import FIRST_EPOCH, KnownLists, MemberList
 
 HISTORY_FILE = "members.json"
 MAX_PORT = 65535
@@ -52,6 +52,8 @@
     def read(self) -> MemberList:
         """Read and check the list. Raises ValueError with a one-line message."""
         members: MemberList = tomlfile.read(self.path, MemberList)
+        if members.epoch < FIRST_EPOCH:
+            raise MemberListError(f"{self.path}: epoch: {FIRST_EPOCH} or more is wanted")
         names = [member.name for member in members.members]
         if len(set(names)) != len(names):
             raise MemberListError(f"{self.path}: members: a name is listed twice")
--- a/pepperhook/idempotency/member_list_follower.py
+++ b/pepperhook/idempotency/member_list_follower.py
@@ -14,12 +14,14 @@
     NotListedError,
 )
 from pepperhook.idempotency.ownership import (
+    UNLISTED_EPOCH,
     Knowledge,
     KnownLists,
     Member,
     MemberList,
     Ownership,
     knowledge_at_start,
+    unlisted_owner,
 )
 from pepperhook.idempotency.peer_client import PeerClient
 from pepperhook.idempotency.peer_protocol import KnownEpochs
@@ -44,23 +46,32 @@
         self._now: Callable[[], int]
 
     def start(
-        self, now: Callable[[], int], longest_entry_ns: int, journal_directory: Path | None
+        self,
+        now: Callable[[], int],
+        longest_entry_ns: int,
+        journal_directory: Path | None,
+        *,
+        has_entries: bool,
     ) -> None:
         """Restore the lists that were saved when this process last ran.
 
         ``now`` returns the time in nanoseconds; ``longest_entry_ns`` is the longest time from the
-        start of a request to the end of its key's window.
+        start of a request to the end of its key's window; ``has_entries``: whether the journal has
+        keys of an earlier run.
         """
         self._now = now
         self._longest_entry_ns = longest_entry_ns
         if journal_directory is not None:
             self._history = MemberListHistory(journal_directory)
-        self._restore_lists()
+        self._restore_lists(has_entries=has_entries)
         self._log_known_lists("member_lists_restored")
         self._save_history()
 
-    def _restore_lists(self) -> None:
+    def _restore_lists(self, *, has_entries: bool) -> None:
         saved = self._load_history()
+        if has_entries and not saved.lists:
+            own = next(m for m in self.ownership.current.members if m.name == self.file.own_name)
+            saved = KnownLists([unlisted_owner(own)], is_complete=True)
         previous = list(saved.lists)
         current = self.ownership.current
         if saved.epoch > current.epoch:
@@ -191,7 +202,11 @@
 
     async def _fetch_lists(self, member: Member, known: KnownEpochs) -> KnownLists | None:
         """Return a member's lists; None if one could not be fetched, as it may just be dropped."""
-        own_lists = {members.epoch: members for members in self.ownership.known_lists.lists}
+        own_lists = {
+            members.epoch: members
+            for members in self.ownership.known_lists.lists
+            if members.epoch != UNLISTED_EPOCH  # which other members may have, too
+        }
         lists: list[MemberList] = []
         for epoch in known.epochs:
             members = own_lists.get(epoch) or await self._client.fetch_list(member, epoch)
--- a/pepperhook/idempotency/ownership.py
+++ b/pepperhook/idempotency/ownership.py
@@ -29,6 +29,7 @@
 
 HASH_BYTES = 8
 FIRST_EPOCH = 1  # of a fleet's first list: there is no earlier one
+UNLISTED_EPOCH = 0  # of the time before, in which a member without a list owned all keys
 
 
 class Member(Struct, forbid_unknown_fields=True):
@@ -42,11 +43,16 @@
     """A numbered list of members, in the format of its file."""
 
     version: Annotated[int, Meta(ge=1, le=1)]
-    epoch: Annotated[int, Meta(ge=1)]
+    epoch: Annotated[int, Meta(ge=UNLISTED_EPOCH)]
     members: Annotated[list[Member], Meta(min_length=1, max_length=200)]
     dead: list[str] = []  # former members that an operator declares no longer running
 
 
+def unlisted_owner(member: Member) -> MemberList:
+    """Return the list that stands for the time in which a member ran without one."""
+    return MemberList(version=1, epoch=UNLISTED_EPOCH, members=[member])
+
+
 def owner_of(key: bytes, members: Sequence[Member]) -> Member:
     """Return the member that owns a key."""
 
@@ -195,11 +201,11 @@
             self.knowledge = Knowledge.COMPLETE
 
     def _learn(self, lists: Iterable[MemberList]) -> None:
-        known_epochs = {earlier.epoch for earlier in self.previous}
+        # Compared whole, as several members may have run without a list.
         self.previous += [
             earlier
             for earlier in lists
-            if earlier.epoch < self.current.epoch and earlier.epoch not in known_epochs
+            if earlier.epoch < self.current.epoch and earlier not in self.previous
         ]
         self.previous.sort(key=lambda earlier: earlier.epoch)
 
--- a/pepperhook/idempotency/peers.py
+++ b/pepperhook/idempotency/peers.py
@@ -76,10 +76,13 @@
         longest_request_ns: int,
         max_retry_after_ns: int,
         journal_directory: Path | None,
+        *,
+        has_entries: bool,
     ) -> None:
         """Start the listener for other members, and the task that follows the member list.
 
-        ``longest_request_ns``: the longest time limit of all service classes.
+        ``longest_request_ns``: the longest time limit of all service classes; ``has_entries``:
+        whether the journal has keys of an earlier run.
         """
         self._host = host
         self._policies = policies
@@ -87,7 +90,10 @@
         self._max_retry_after_ns = max_retry_after_ns
         longest_window_ns = max(policy.window_ns for policy in policies)
         self.lists.start(
-            host.runtime.now, longest_window_ns + longest_request_ns, journal_directory
+            host.runtime.now,
+            longest_window_ns + longest_request_ns,
+            journal_directory,
+            has_entries=has_entries,
         )
         self._server = peer_server.listen(host, self.ownership)
         self._watcher = host.runtime.supervisor.start("idempotency peers", self.lists.watch)
--- a/tests/idempotency/test_member_list.py
+++ b/tests/idempotency/test_member_list.py
@@ -34,6 +34,14 @@
     assert reason in str(raised.value)
 
 
+def test_epoch_before_the_first_is_refused(tmp_path):
+    path = tmp_path / "peers.toml"
+    path.write_text('version = 1\nepoch = 0\n[[members]]\nname = "a"\naddress = "h:1"\n')
+
+    with pytest.raises(MemberListError, match="epoch: 1 or more is wanted"):
+        MemberListFile(path, "a").read()
+
+
 def test_has_changed_is_true_once_after_a_change(tmp_path):
     path = tmp_path / "peers.toml"
     file = MemberListFile(path, "a")
--- a/tests/idempotency/test_peers.py
+++ b/tests/idempotency/test_peers.py
@@ -281,6 +281,24 @@
     assert upstream.runs == 1
 
 
+async def test_member_added_to_one_that_ran_without_a_list_rejects_the_keys_of_that_time(edges):
+    """Guards against a first list that gives away keys which one member ran without any."""
+    upstream, key = BlockingUpstream(), edges.key_of("e1")
+    upstream.release.set()
+    async with ScriptedPeer(upstream) as peer:
+        alone = make_extension(window_s={"pay": LONG_WINDOW_S}, journal=str(edges.directory / "e0"))
+        async with running_balancer(peer, alone, owns_event_loop=False) as balancer:
+            assert await pay(balancer, key) == (200, b"run 1")
+        async with (
+            edges.make("e0", peer, LONG_WINDOW_S).balancer as first_balancer,
+            edges.make("e1", peer, LONG_WINDOW_S).balancer as added_balancer,
+        ):
+            assert (await pay(added_balancer, key))[0] == 503, "e0 has the entry"
+            assert (await pay(first_balancer, key))[0] == 503, "it is e1's key now"
+            assert (await pay(added_balancer, edges.key_of("e0")))[0] == 200
+    assert upstream.runs == 2
+
+
 async def test_member_that_starts_with_an_outdated_list_accepts_no_key(edges):
     """Guards against a member that others declared dead starting with the list before that."""
     upstream, key = BlockingUpstream(), edges.key_of("e1")
