Log how long each poll of the endpoint list took, and each change of an upstream's state

The incident's evidence could not tell its candidate causes apart: the log had neither the duration nor the kind of a failed poll, no state change of an upstream at the usual level, and no result of a health check.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -32,6 +32,7 @@
 
 OK = 200
 NS_PER_S = 1e9
+NS_PER_MS = 10**6
 MAX_LIST_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 4
 WATCH_MARGIN_S = 0.5  # that a response may take beyond the requested wait
@@ -137,7 +138,7 @@
         error = asyncio.CancelledError() if task.cancelled() else task.exception()
         if error is not None and not self.is_closed:
             self.runtime.report_fault(f"endpoint {kind.value}", error)
-            self._poll_failed(error)
+            self._poll_failed(error, 0)
 
     async def _watch(self) -> None:
         """Poll again immediately after each response; to the policy this is one watch."""
@@ -163,16 +164,19 @@
     async def _poll(self, query: Query) -> bool:
         """Poll once; return whether a watch may continue."""
         self.counters.add("list asked")
+        started_at = self.runtime.now()
         confirm_timer = self._confirm_when_held() if query else None
         try:
             body = await http1_client.retry_stale_connections(lambda: self._request(query))
             self._apply(endpoint_list.parse(body, self.zones, self.kinds))
         except (PepperhookError, OSError) as error:
-            self._poll_failed(error)
+            self._poll_failed(error, self.runtime.now() - started_at)
             return False
         finally:
             if confirm_timer is not None:
                 confirm_timer.cancel()
+        duration_ns = self.runtime.now() - started_at
+        self.log.debug("list_answered", call_ms=duration_ns // NS_PER_MS, version=self.version)
         return True
 
     def _confirm_when_held(self) -> asyncio.TimerHandle:
@@ -182,12 +186,20 @@
     def _confirm(self, age_ns: int = 0) -> None:
         self.runtime.call_policy(self.runtime.policy.endpoints_confirmed, age_ns)
 
-    def _poll_failed(self, error: BaseException) -> None:
+    def _poll_failed(self, error: BaseException, duration_ns: int) -> None:
+        failure = _failure(error)
         self.counters.add("list failed")
-        self.log.warning("list_failed", error=f"{type(error).__name__}: {error}")
+        self.counters.add(f"list failed {failure}")
+        self.log.warning(
+            "list_failed",
+            error=f"{type(error).__name__}: {error}",
+            failure=failure,
+            call_ms=duration_ns // NS_PER_MS,
+            version=self.version,
+        )
         retry_after_ns = error.retry_after_ns if isinstance(error, ListRefusedError) else 0
         policy = self.runtime.policy
-        self.runtime.call_policy(policy.endpoint_poll_failed, _failure(error), retry_after_ns)
+        self.runtime.call_policy(policy.endpoint_poll_failed, failure, retry_after_ns)
 
     async def _request(self, query: Query) -> bytes:
         timeout_s = self.wait_s + WATCH_MARGIN_S if query else FETCH_TIMEOUT_S
@@ -289,6 +301,14 @@
             # By name, which is the same at every balancer, not by dial address, so that the rings
             # from which they choose their subsets have the same order.
             upstream = self.known[listed.name] = Upstream(listed.name.encode())
+        if upstream.is_known and upstream.state is not listed.state:
+            self.log.info(
+                "upstream_state",
+                host=listed.name,
+                previous=upstream.state,
+                state=listed.state,
+                started_ms=listed.started_at // NS_PER_MS,
+            )
         upstream.zone = listed.zone
         upstream.kind = listed.kind
         upstream.cell = listed.cell
--- a/pepperhook/server/runtime.py
+++ b/pepperhook/server/runtime.py
@@ -120,7 +120,10 @@
     def may_send(self, attempt: Attempt) -> bool:
         """Make the policy's last check before the first byte; if it raises, nothing is written."""
         try:
-            return bool(self.policy.may_send(self.now(), attempt))
+            may_send = bool(self.policy.may_send(self.now(), attempt))
+            if not may_send:
+                self.counters.add("sends forbidden")
+            return may_send
         except Exception:
             self.counters.add("faults of the module")
             self.log.exception("module_fault", call="goes")  # the log's name of may_send
--- a/pepperhook/server/upstream_pool.py
+++ b/pepperhook/server/upstream_pool.py
@@ -40,6 +40,7 @@
 )
 HEALTH_CHECK_FACTOR = 4  # timeout of a health check, as a multiple of the connect timeout
 NS_PER_S = 1e9
+NS_PER_MS = 10**6
 MS_PER_S = 1000
 
 AttemptResult = tuple[Outcome, UpstreamResponse | None]
@@ -321,6 +322,13 @@
                 endpoint.in_flight -= 1
                 self._close_if_unused(endpoint)
             outcome, report = result
+            self.log.debug(
+                "health_check",
+                upstream=upstream.address,
+                outcome=outcome,
+                state=upstream.state,
+                call_ms=(self.runtime.now() - started_at) // NS_PER_MS,
+            )
             report_result(upstream, outcome, self.runtime.now() - started_at, report)
 
     async def _request_health(self, endpoint: UpstreamEndpoint) -> HealthCheckResult:
