--- /dev/null
+++ b/tests/server/balancer_process.py
@@ -0,0 +1,36 @@
+"""Balancers that run as processes of their own."""
+
+import asyncio
+
+from tests.programs import free_port, start_program
+from tests.server.balancers import RunningBalancer
+
+EXIT_TIMEOUT_S = 60
+
+
+class BalancerProcess(RunningBalancer):
+    """A client of a balancer that runs as a process of its own."""
+
+    def __init__(self, environment, *arguments):
+        super().__init__()
+        self.port = free_port()
+        self.process = start_program(
+            environment | {"LB_LISTEN": f"127.0.0.1:{self.port}"}, *arguments
+        )
+
+    async def wait_for_event(self, event):
+        """Read the log up to a line with this event."""
+        line = ""
+        while f"event={event}" not in line:
+            line = await asyncio.to_thread(self.process.stderr.readline)
+            assert line, "the process has exited"
+
+    def signal(self, *numbers):
+        """Send signals, one after another."""
+        for number in numbers:
+            self.process.send_signal(number)
+
+    async def read_rest_of_log(self):
+        """Wait for the end of the process; return the rest of its log."""
+        _, log = await asyncio.to_thread(self.process.communicate, timeout=EXIT_TIMEOUT_S)
+        return log
--- a/tests/server/test_process.py
+++ b/tests/server/test_process.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from tests.programs import free_port, start_program, write_config
+from tests.programs import free_port, write_config
+from tests.server.balancer_process import BalancerProcess
 from tests.server.balancers import (
-    RunningBalancer,
     encode_endpoint_list,
     endpoint_list,
     endpoint_rows,
@@ -15,7 +15,6 @@
 )
 from tests.server.peers import ScriptedPeer, always, make_response, request_target
 
-EXIT_TIMEOUT_S = 60
 PROCESSES = 5
 WITH_64_DESCRIPTORS = (
     "import os, resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)); "
@@ -23,34 +22,6 @@
 )
 
 
-class BalancerProcess(RunningBalancer):
-    """A client of a balancer that runs as a process of its own."""
-
-    def __init__(self, environment, *arguments):
-        super().__init__()
-        self.port = free_port()
-        self.process = start_program(
-            environment | {"LB_LISTEN": f"127.0.0.1:{self.port}"}, *arguments
-        )
-
-    async def wait_for_event(self, event):
-        """Read the log up to a line with this event."""
-        line = ""
-        while f"event={event}" not in line:
-            line = await asyncio.to_thread(self.process.stderr.readline)
-            assert line, "the process has exited"
-
-    def signal(self, *numbers):
-        """Send signals, one after another."""
-        for number in numbers:
-            self.process.send_signal(number)
-
-    async def read_rest_of_log(self):
-        """Wait for the end of the process; return the rest of its log."""
-        _, log = await asyncio.to_thread(self.process.communicate, timeout=EXIT_TIMEOUT_S)
-        return log
-
-
 async def test_signals_during_a_shutdown_do_not_change_its_course(tmp_path, release):
     async with (
         ScriptedPeer(release.then(make_response())) as peer,
