Only an answer of the discovery service confirms the endpoint list

Cause: time passed was taken for knowledge. A poll that was open for 2.1 s counted as held by the service, and confirmed the list, even if it waited in a queue, in a proxy or for its connection; the end of such a poll confirmed the list once more; and an open watch permitted all sends whatever its state. An answer confirmed the list as of its arrival, however long it took.

Now a poll confirms the list by its answer alone, as of the time when it was sent; if it reports no changes, as of the end of its wait. After an answer that confirms an old list the next wait is half as long, so that there is time for a retry.

Checks replaced: those of policy/test_endpoints that had an open watch confirm the list now demand the opposite of a poll, and hold unchanged for a subscription; test_long_poll_without_a_response_confirms... asserted the fault; NOTIFIED_AFTER in test_endpoint_watch_failures grows to the poll's timeout and health checks are off there, as nothing but an answer keeps the list valid.

--- a/pepperhook/balancer.py
+++ b/pepperhook/balancer.py
@@ -60,6 +60,7 @@
 
     def _review(self, now: int) -> None:
         """Update the members and their weights, then send queued requests if there is capacity."""
+        self.endpoints.review(now)
         self._update_members(now)
         self.admission.release(now)
 
--- a/pepperhook/capture/driver.py
+++ b/pepperhook/capture/driver.py
@@ -121,7 +121,7 @@
                 updates = [
                     EndpointUpdate(self.upstreams[u], UpstreamState(s), at) for u, s, at in rest[0]
                 ]
-                arguments = [first, updates]
+                arguments = [first, updates, *rest[1:]]
             case "endpoints_corrected":
                 arguments = [
                     [EndpointUpdate(self.upstreams[u], UpstreamState(s), at) for u, s, at in first]
--- a/pepperhook/capture/legacy_state.py
+++ b/pepperhook/capture/legacy_state.py
@@ -38,7 +38,14 @@
 # Attributes that 0.2 did not store: a replayed policy has values for them, a converted state has
 # defaults, so a comparison of the two ignores them.
 MISSING_ATTRIBUTES = frozenset(
-    ("good_until", "health_check_began_at", "is_confirmed", "planned_at", "shown_ready_at")
+    (
+        "good_until",
+        "health_check_began_at",
+        "is_confirmed",
+        "planned_at",
+        "shown_ready_at",
+        "is_reported_stale",
+    )
 )
 KEEP_GONE_NS = 60 * 10**9  # how long 0.2 kept the position of an upstream that was gone
 # For each class: the attribute names of 0.2, mapped to the current ones.
@@ -332,6 +339,7 @@
         endpoints.is_watching = endpoints.is_confirmed = discovery.watching
         endpoints.notified_after = min(NOTIFIED_AFTER, discovery.within)
         endpoints.good_until = discovery.asked + endpoints.notified_after
+        endpoints.is_reported_stale = False
         endpoints.backoff = endpoints.make_backoff()
         # 0.2 had at most one timer that opens a watch, and gave it no argument. A timer opens a
         # watch only if its argument is equal to planned_at, so that has to be None as well.
--- a/pepperhook/capture/recorder.py
+++ b/pepperhook/capture/recorder.py
@@ -229,8 +229,8 @@
         numbers = self.numbers
         stored = list(arguments)
         match name, arguments:
-            case "endpoints_changed", (is_complete, updates):
-                stored = [is_complete, self.encode_updates(updates)]
+            case "endpoints_changed", (is_complete, updates, *age):
+                stored = [is_complete, self.encode_updates(updates), *age]
             case "endpoints_corrected", (updates,):
                 stored = [self.encode_updates(updates)]
             case (("accept" | "client_left"), (request,)):
--- a/pepperhook/capture/stored_settings.py
+++ b/pepperhook/capture/stored_settings.py
@@ -18,6 +18,7 @@
         value = getattr(settings, field.name)
         if word is not None and value != getattr(defaults, field.name):
             stored[word] = value
+    stored[words.SUBSCRIBES] = settings.subscribes_to_endpoints
     stored[words.TENANTS] = [
         {word: getattr(tenant, name) for name, word in words.TENANT.items()}
         for tenant in settings.tenants
@@ -40,6 +41,8 @@
 ) -> Settings:
     """Decode stored settings; ``class_decoder`` replaces ``decode_class`` if it is given."""
     values = {name: stored[word] for name, word in words.SETTINGS.items() if word in stored}
+    # Before this setting was stored, an open watch counted as a subscription.
+    values["subscribes_to_endpoints"] = stored.get(words.SUBSCRIBES, True)
     if "report_source" in values:
         values["report_source"] = ReportSource(values["report_source"])
     decode_one_class = class_decoder or decode_class
--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -1,6 +1,6 @@
 """When the endpoint list is polled, and for how long the current list permits sending to an upstream."""
 
-from pepperhook.actions import WatchEndpoints
+from pepperhook.actions import OperatorNote, WatchEndpoints
 from pepperhook.domain import PollFailure, Upstream
 from pepperhook.pipeline import Component
 from pepperhook.poll_backoff import PollBackoff
@@ -8,10 +8,8 @@
 
 # The balancer counts as notified of a change this long after it, even if all polls failed (rule 3).
 NOTIFIED_AFTER = 6 * SECOND
-# The service drops a queued poll after 2 s; one that is open for longer, with 0.1 s for the transit, is held
-# as a watch: the service answers it when there is a change.
-POLL_TIMEOUT = 2100 * MILLISECOND
-MAX_WATCH_WAIT = 3 * SECOND  # a silent watch is replaced before the balancer counts as notified of changes
+POLL_TIMEOUT = 2100 * MILLISECOND  # the service drops a queued poll after 2 s; 0.1 s for the transit
+MAX_WATCH_WAIT = 3 * SECOND  # leaves time for a retry while the list that the last answer confirmed is valid
 # Mean interval between the first polls of a fleet that starts together; minimum length of a poll round (see
 # poll_backoff).
 START_INTERVAL, MIN_ROUND = 100 * MILLISECOND, SECOND
@@ -21,18 +19,20 @@
 LONGEST_ROUNDS = {PollFailure.UNREACHABLE: 3 * SECOND, PollFailure.SILENT: SECOND}
 # An outage of some seconds causes two failed polls; more are taken for overload, and rounds double.
 STEADY_FAILURES, MAX_DOUBLINGS = 2, 2
+CHECK_LEAD = 2 * SECOND  # health checks begin this long before the endpoint list becomes stale
 
 
 class Endpoints(Component):
     """Keeps one watch on the endpoint list open, without overloading the service that a whole fleet polls."""
 
     def _set_up(self, now: int) -> None:
-        # planned_at: time of the next watch; is_confirmed: whether the open watch was answered or is held.
+        # planned_at: time of the next watch; is_confirmed: whether the open watch was answered.
         self.polls, self.planned_at = self.settings.polls_endpoints, now
         self.is_watching = self.is_confirmed = False
         self.notified_after = min(NOTIFIED_AFTER, self.settings.endpoint_poll_within_ns)
-        # Time until which the current list is valid while no open watch confirms it.
+        # Time until which the current list is valid; only answers extend it, open subscriptions apart.
         self.good_until = now + self.notified_after
+        self.is_reported_stale = False
         self.backoff = self.make_backoff()
         if self.polls:
             # Not delayed where lists are pushed: a change counts as notified as soon as the
@@ -57,29 +57,25 @@
             self.balancer.actions.append(WatchEndpoints(wait))
 
     def restart_watch(self, now: int) -> None:
-        """Open a watch on another service; if the old watch was confirmed, its list is complete up to now."""
-        self.good_until = max(self.good_until, now + self.notified_after * self.is_confirmed)
+        """Open a watch on another service; a subscription reported all changes up to now."""
+        if self.is_confirmed and self.settings.subscribes_to_endpoints:
+            self.good_until = max(self.good_until, now + self.notified_after)
         self.is_watching = self.is_confirmed = False
         self.planned_at = now
         self._watch(now, now)
 
     def confirm(self, at: int) -> None:
-        """Record that the current list was up to date at time ``at``."""
+        """Record that the service has answered with the list as it was at time ``at``."""
         self.is_confirmed = self.is_watching
         self.good_until = at + self.notified_after
         self.backoff.reset()
 
     def poll_failed(self, now: int, failure: PollFailure, retry_after: int) -> None:
-        """Process a failed poll or the end of a watch, and schedule the next watch.
-
-        Only a held watch that does not end silently confirms the list, up to its end.
-        """
+        """Process a failed poll or the end of a watch, and schedule the next watch."""
         if not self.polls:
             return
-        # good_until - notified_after is the time of the last confirmation.
-        is_held = self.is_confirmed and now > self.good_until - self.notified_after + POLL_TIMEOUT
-        if is_held and failure is not PollFailure.SILENT:
-            self.good_until = now + self.notified_after  # a held watch reported all changes up to its end
+        if failure is not PollFailure.SILENT:
+            self._extend_by_subscription(now)
         if failure is PollFailure.UNSPECIFIED:
             self._hold_by_settings()
         jitter, longest = self.balancer.random(), LONGEST_ROUNDS.get(failure)
@@ -87,6 +83,13 @@
         self.balancer.call_at(self.planned_at, self._watch, self.planned_at)
         self.is_watching = self.is_confirmed = False
 
+    def _extend_by_subscription(self, now: int) -> None:
+        # A long poll may wait in a queue, in a proxy or at a service that has failed: only its answer shows
+        # that the list was current. A host that subscribes is notified of each change and of the end.
+        is_held = self.is_confirmed and now > self.good_until - self.notified_after + POLL_TIMEOUT
+        if is_held and self.settings.subscribes_to_endpoints:
+            self.good_until = now + self.notified_after
+
     def _hold_by_settings(self) -> None:
         """Hold the list for as long as the settings allow after the failed poll, from its beginning.
 
@@ -96,13 +99,31 @@
             held_until = self.planned_at + FAILED_POLL_FACTOR * self.settings.endpoint_poll_within_ns
             self.good_until = max(self.good_until, held_until)
 
+    def review(self, now: int) -> None:
+        """Report when the list becomes stale or current."""
+        is_stale = self.polls and not self.settings.subscribes_to_endpoints and now > self.good_until
+        if is_stale != self.is_reported_stale:
+            self.is_reported_stale = is_stale
+            self.balancer.actions.append(
+                OperatorNote(f"endpoint list is {'stale' if is_stale else 'current'}")
+            )
+
     def is_stale(self, now: int, upstream: Upstream) -> bool:
         """Rule 3: return whether the upstream may be draining or gone without this balancer's knowledge.
 
         A draining upstream passes no health check, so a passed one shows that the upstream was ready.
         """
-        # An open watch reports every change, but after failed polls only once it is confirmed: confirm()
-        # resets failed_polls.
-        if not self.polls or (self.is_watching and not self.backoff.failed_polls):
+        if not self.polls or self._is_subscribed():
             return False
         return now > max(self.good_until, upstream.shown_ready_at + self.notified_after)
+
+    def needs_health_check(self, now: int, upstream: Upstream) -> bool:
+        """Return whether sending to the upstream may soon require that it has passed a health check."""
+        if not self.polls or self._is_subscribed():
+            return False
+        return now + CHECK_LEAD > max(self.good_until, upstream.shown_ready_at + self.notified_after)
+
+    def _is_subscribed(self) -> bool:
+        # After failed calls only once the subscription is confirmed: confirm() resets failed_polls.
+        is_open = self.is_watching and not self.backoff.failed_polls
+        return is_open and self.settings.subscribes_to_endpoints
--- a/pepperhook/policy/outlier.py
+++ b/pepperhook/policy/outlier.py
@@ -17,7 +17,6 @@
 # An attempt that is open, timed out or cancelled counts as slow from an age of e**0.7 (about 2) expected
 # service times on.
 SLOW_LOG_AGE = 0.7
-CHECK_LEAD = 2 * SECOND  # health checks begin this long before the endpoint list becomes stale
 # Delay of the first health check of an unreachable upstream; mean interval of the next; period of reviews.
 CHECK_AFTER, CHECK_INTERVAL, REVIEW_PERIOD = 100 * MILLISECOND, SECOND, 200 * MILLISECOND
 UNREACHABLE_PAUSE = 5 * SECOND  # mean time without attempts to an unreachable upstream without health checks
@@ -60,7 +59,7 @@
 
     def _check_if_due(self, now: int, upstream: Upstream) -> None:
         is_due = upstream.unreachable_since is not None and now >= upstream.health_check_due_at
-        is_wanted = is_due or self.balancer.endpoints.is_stale(now + CHECK_LEAD, upstream)
+        is_wanted = is_due or self.balancer.endpoints.needs_health_check(now, upstream)
         if is_wanted and self.settings.may_health_check:
             self.check(upstream)
         elif is_due:
--- a/pepperhook/policy_interface.py
+++ b/pepperhook/policy_interface.py
@@ -43,9 +43,14 @@
         return not request.finished and now < request.deadline and is_ready
 
     @entry_point
-    def endpoints_changed(self, now: int, whole: bool, updates: Sequence[EndpointUpdate]) -> None:
-        """Process an endpoint list or changes of one; ``whole``: upstreams not named are gone."""
-        self.on_endpoints_confirmed(now)
+    def endpoints_changed(
+        self, now: int, whole: bool, updates: Sequence[EndpointUpdate], age_ns: int = 0
+    ) -> None:
+        """Process an endpoint list or changes of one; ``whole``: upstreams not named are gone.
+
+        ``age_ns``: how long ago the service may have sent it.
+        """
+        self.on_endpoints_confirmed(now - age_ns)
         self.on_endpoints_changed(now, whole, updates)
 
     @entry_point
@@ -55,10 +60,7 @@
 
     @entry_point
     def endpoints_confirmed(self, now: int, age_ns: int = 0) -> None:
-        """Record that the endpoint list was up to date ``age_ns`` ago.
-
-        ``age_ns`` is 0 if the service has just answered, or the age of a poll that it holds open.
-        """
+        """Record that the endpoint list was up to date ``age_ns`` ago, by the service's answer."""
         self.on_endpoints_confirmed(now - age_ns)
 
     @entry_point
--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -10,7 +10,6 @@
 
 from pepperhook.domain import EndpointUpdate, PollFailure, Upstream, UpstreamState
 from pepperhook.errors import PepperhookError
-from pepperhook.policy.endpoints import POLL_TIMEOUT
 from pepperhook.server import endpoint_list, http1_client
 from pepperhook.server import extensions as extension_points
 from pepperhook.server.attempt_errors import ConnectFailedError, ConnectionLostError
@@ -33,13 +32,12 @@
 OK = 200
 NS_PER_S = 1e9
 NS_PER_MS = 10**6
+MS_PER_S = 1000
 MAX_LIST_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 4
 WATCH_MARGIN_S = 0.5  # that a response may take beyond the requested wait
 FETCH_TIMEOUT_S = 2.5  # the service drops polls that it could not answer in two seconds
-# A watch that is open for longer is not queued at the service, but held until there is a change.
-# So the list was current when the poll was sent.
-WATCH_HELD_S = POLL_TIMEOUT / NS_PER_S
+CONNECT_TIMEOUT_S = 1.5
 EARLY_RESPONSE_S = 0.05  # a response without changes within this time is followed by a pause
 EARLY_RESPONSE_PAUSE_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
@@ -80,6 +78,7 @@
         self.tasks: dict[PollKind, asyncio.Task[None]] = {}
         self.ready = False  # whether a list was ever applied
         self.wait_s = 0.0  # how long a poll of the watch waits for a change
+        self.answer_age_ns = 0  # how old the list may have been when the last answer arrived
         self.closing: set[asyncio.Task[None]] = set()
         self.is_closed = False
         self.url: str
@@ -146,46 +145,52 @@
         while continues:
             started_at_s = self.runtime.loop.time()
             version_before = self.version
-            continues = await self._poll(self._watch_query())
+            continues = await self._poll(self._next_wait_ms())
             is_early = self.runtime.loop.time() < started_at_s + EARLY_RESPONSE_S
             if continues and self.version == version_before and is_early:
                 # A service that does not wait must not be polled in a tight loop. To the policy,
                 # the watch continues during the pause.
                 await asyncio.sleep(EARLY_RESPONSE_PAUSE_S)
 
-    def _watch_query(self) -> Query:
-        if self.version is None:
-            return {}
-        return {"since": str(self.version), "timeout_ms": str(int(self.wait_s * 1000))}
+    def _next_wait_ms(self) -> int:
+        """Return the wait of the next poll, shorter if the last answer confirmed an old list.
+
+        Otherwise the list could become stale before the next answer.
+        """
+        wait_ms = int(self.wait_s * MS_PER_S)
+        is_old = self.answer_age_ns > wait_ms * NS_PER_MS // 2
+        return wait_ms // 2 if is_old else wait_ms
 
     async def _fetch(self) -> None:
-        await self._poll({})
+        await self._poll(0)
+
+    async def _poll(self, wait_ms: int) -> bool:
+        """Poll once, for a change within ``wait_ms``; return whether a watch may continue.
 
-    async def _poll(self, query: Query) -> bool:
-        """Poll once; return whether a watch may continue."""
+        Polls for the whole list if there is none yet, or if ``wait_ms`` is 0.
+        """
         self.counters.add("list asked")
+        query: Query = {}
+        if wait_ms and self.version is not None:
+            query = {"since": str(self.version), "timeout_ms": str(wait_ms)}
         started_at = self.runtime.now()
-        confirm_timer = self._confirm_when_held() if query else None
         try:
-            body = await http1_client.retry_stale_connections(lambda: self._request(query))
-            self._apply(endpoint_list.parse(body, self.zones, self.kinds))
+            body = await http1_client.retry_stale_connections(lambda: self._request(query, wait_ms))
+            update = endpoint_list.parse(body, self.zones, self.kinds)
+            duration_ns = self.runtime.now() - started_at
+            self.answer_age_ns = _age_of_answer(update, duration_ns, wait_ms * NS_PER_MS)
+            self._apply(update, self.answer_age_ns)
         except (PepperhookError, OSError) as error:
             self._poll_failed(error, self.runtime.now() - started_at)
             return False
-        finally:
-            if confirm_timer is not None:
-                confirm_timer.cancel()
-        duration_ns = self.runtime.now() - started_at
-        self.log.debug("list_answered", call_ms=duration_ns // NS_PER_MS, version=self.version)
+        self.log.debug(
+            "list_answered",
+            call_ms=duration_ns // NS_PER_MS,
+            age_ms=self.answer_age_ns // NS_PER_MS,
+            version=self.version,
+        )
         return True
 
-    def _confirm_when_held(self) -> asyncio.TimerHandle:
-        age_ns = int(WATCH_HELD_S * NS_PER_S)
-        return self.runtime.loop.call_later(WATCH_HELD_S, self._confirm, age_ns)
-
-    def _confirm(self, age_ns: int = 0) -> None:
-        self.runtime.call_policy(self.runtime.policy.endpoints_confirmed, age_ns)
-
     def _poll_failed(self, error: BaseException, duration_ns: int) -> None:
         failure = _failure(error)
         self.counters.add("list failed")
@@ -201,22 +206,22 @@
         policy = self.runtime.policy
         self.runtime.call_policy(policy.endpoint_poll_failed, failure, retry_after_ns)
 
-    async def _request(self, query: Query) -> bytes:
-        timeout_s = self.wait_s + WATCH_MARGIN_S if query else FETCH_TIMEOUT_S
+    async def _request(self, query: Query, wait_ms: int) -> bytes:
+        timeout_s = wait_ms / MS_PER_S + WATCH_MARGIN_S if query else FETCH_TIMEOUT_S
         return await http1_client.exchange(
             self.session,
             "GET",
             self.url,
             _read_list,
             params=query,
-            timeout=http1_client.make_timeout(timeout_s),
+            timeout=http1_client.make_timeout(timeout_s, CONNECT_TIMEOUT_S),
         )
 
     def apply(self, document: object) -> None:
         """Apply a list or set of changes from parsed JSON. Raises MalformedListError."""
-        self._apply(endpoint_list.decode(document, self.zones, self.kinds))
+        self._apply(endpoint_list.decode(document, self.zones, self.kinds), age_ns=0)
 
-    def _apply(self, update: EndpointList) -> None:
+    def _apply(self, update: EndpointList, age_ns: int) -> None:
         if not update.is_whole and self.version is not None and update.version < self.version:
             # The service has restarted and counts versions from the start, so its changes do not
             # refer to the current list. Request the whole list at the next poll.
@@ -228,10 +233,11 @@
             return
         if not update.is_whole and not update.endpoints and not update.unreadable:
             self.version = update.version
-            self._confirm()
+            self.runtime.call_policy(self.runtime.policy.endpoints_confirmed, age_ns)
             return
         rows = self._rows(update)
-        self.runtime.call_policy(self.runtime.policy.endpoints_changed, update.is_whole, rows)
+        policy = self.runtime.policy
+        self.runtime.call_policy(policy.endpoints_changed, update.is_whole, rows, age_ns)
         self.version = update.version
         self._after_update(update)
         if not self.ready:
@@ -350,12 +356,22 @@
     return int(min(max(seconds, 0.0), MAX_RETRY_AFTER_S) * NS_PER_S)
 
 
+def _age_of_answer(update: EndpointList, duration_ns: int, wait_ns: int) -> int:
+    """Return how old a list may be that arrived ``duration_ns`` after its poll was sent.
+
+    The service may have sent it at any time since then, and the network or this process have
+    delayed it. A service that reports no changes has waited for them for the whole ``wait_ns``.
+    """
+    is_unchanged = not (update.is_whole or update.endpoints or update.unreadable)
+    return duration_ns - wait_ns if is_unchanged and duration_ns >= wait_ns else duration_ns
+
+
 def _failure(error: BaseException) -> PollFailure:
     """Return the policy's classification of a failed poll."""
-    if isinstance(error, TimeoutError):
-        return PollFailure.SILENT
     if isinstance(error, (ConnectFailedError, ConnectionLostError)):
         return PollFailure.UNREACHABLE
+    if isinstance(error, TimeoutError):
+        return PollFailure.SILENT
     return PollFailure.REFUSED
 
 
--- a/pepperhook/settings.py
+++ b/pepperhook/settings.py
@@ -88,6 +88,9 @@
     # Lists are pushed to an agent on this machine; the balancer counts as notified of a change as
     # soon as the agent has it.
     endpoints_are_pushed: bool = False
+    # The host is notified of each change of the endpoint list, and of the end of its subscription.
+    # Otherwise it polls, and only an answered poll shows that the list is current.
+    subscribes_to_endpoints: bool = False
     report_source: ReportSource = ReportSource.NONE
     report_names: list[str] = field(default_factory=list)  # names on the wire
     report_figures: list[str] = field(default_factory=list)  # names in the policy
--- a/pepperhook/sim_adapter/instance.py
+++ b/pepperhook/sim_adapter/instance.py
@@ -5,6 +5,7 @@
 
 import json
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import TypeAlias
 
 from pepperhook.actions import Action, FailRequest, RejectRequest
@@ -65,7 +66,7 @@
         layout = protocol.ATTACH_FIELDS
         seed, size = codec.unpack(layout, fields, "ATTACH")
         document = json.loads(fields[layout.size : layout.size + size].decode("utf-8"))
-        self.settings = read_settings(document)
+        self.settings = replace(read_settings(document), subscribes_to_endpoints=True)
         self.upstreams = {}
         self.requests = {}
         self.balancer = Balancer(self.settings, seed, now)
--- a/pepperhook/stored_words.py
+++ b/pepperhook/stored_words.py
@@ -105,6 +105,7 @@
     "report_names": "report_names",
     "report_figures": "report_fields",
 }
+SUBSCRIBES = "subscribes"  # key of Settings.subscribes_to_endpoints, stored also where it is False
 # Keys of the lists of service classes and tenants in stored settings.
 SERVICE_CLASSES, TENANTS = "grades", "customers"
 # Fields of ServiceClass.
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -71,11 +71,50 @@
 # How long the list is valid.
 
 
-@pytest.mark.parametrize("failure", [PollFailure.REFUSED, PollFailure.UNREACHABLE])
-def test_list_is_valid_for_the_notification_time_after_the_end_of_a_held_watch(failure):
+@pytest.mark.parametrize("failure", list(PollFailure))
+def test_list_is_valid_for_the_notification_time_after_its_last_answer_however_a_watch_ends(
+    failure,
+):
+    host = Host(may_health_check=False, endpoint_poll_within_ns=6 * SECOND)
+    host.open_confirmed_watch()
+    answered_at = host.now
+    host.advance(host.now + 2 * SECOND)
+    if failure is not PollFailure.UNSPECIFIED:  # the settings alone say how long it is valid then
+        host.fail_poll(failure)
+
+    host.now = answered_at + NOTIFIED_AFTER
+    assert host.may_send_to_any()
+    host.now += 1
+    assert not host.may_send_to_any()
+
+
+def test_open_watch_does_not_extend_the_time_for_which_the_list_is_valid():
+    # An open watch permitted all sends, whether or not the service still held it.
+    host = Host(may_health_check=False)
+    host.open_confirmed_watch()
+    host.now += NOTIFIED_AFTER + 1
+
+    assert host.balancer.endpoints.is_watching
+    assert not host.may_send_to_any()
+
+
+def test_list_is_valid_for_the_notification_time_after_it_was_current_not_after_its_arrival():
     host = Host(may_health_check=False)
+    host.open_watch()
+    host.call(host.balancer.endpoints_changed, False, [], 2 * SECOND)
+
+    host.now += NOTIFIED_AFTER - 2 * SECOND
+    assert host.may_send_to_any()
+    host.now += 1
+    assert not host.may_send_to_any()
+
+
+@pytest.mark.parametrize("failure", [PollFailure.REFUSED, PollFailure.UNREACHABLE])
+def test_list_is_valid_for_the_notification_time_after_the_end_of_a_subscription(failure):
+    host = Host(may_health_check=False, subscribes_to_endpoints=True)
     host.open_confirmed_watch()
     host.advance(host.now + 20 * SECOND)
+    assert host.may_send_to_any()
     host.fail_poll(failure)
     ended_at = host.now
 
@@ -175,7 +214,7 @@
     assert not host.may_send_to_any()
 
 
-def test_retried_watch_confirms_the_list_only_once_it_is_held():
+def test_retried_watch_confirms_the_list_only_by_its_answer():
     host = Host(may_health_check=False)
     host.open_confirmed_watch()
     host.fail_poll()
@@ -189,7 +228,7 @@
     host.fail_poll(PollFailure.SILENT)
     host.now += NOTIFIED_AFTER - 2 * SECOND + 1
     assert not host.may_send_to_any(), (
-        "held for two seconds, so the list was confirmed two seconds before"
+        "answered after two seconds, so the list may have been current only two seconds before"
     )
 
 
@@ -206,17 +245,20 @@
     assert not host.upstreams[0].is_ready
 
 
-def test_move_to_another_service_polls_it_immediately_and_keeps_the_old_list_valid():
-    host = Host(may_health_check=False)
+@pytest.mark.parametrize("subscribes", [False, True])
+def test_move_to_another_service_polls_it_immediately_and_keeps_the_old_list_valid(subscribes):
+    host = Host(may_health_check=False, subscribes_to_endpoints=subscribes)
     host.open_confirmed_watch()
-    host.advance(host.now + 20 * SECOND)
+    answered_at = host.now
+    host.advance(host.now + 2 * SECOND)
 
     actions = host.call(host.balancer.endpoint_service_moved)
 
     assert any(isinstance(action, WatchEndpoints) for action in actions)
     moved_at = host.now
     host.fail_poll()
-    host.now = moved_at + NOTIFIED_AFTER
+    # A subscription had reported all changes up to the move.
+    host.now = (moved_at if subscribes else answered_at) + NOTIFIED_AFTER
     assert host.may_send_to_any()
     host.now += 1
     assert not host.may_send_to_any()
@@ -252,8 +294,8 @@
 # Health checks while the list is stale.
 
 
-def run_while_polls_fail(host, outcome_of, until):
-    """End health checks with ``outcome_of(upstream)`` while polls fail.
+def run_while_polls_fail(host, outcome_of, until, failure=PollFailure.REFUSED):
+    """End health checks with ``outcome_of(upstream)`` while polls fail with ``failure``.
 
     Returns for each step whether each upstream may be sent to.
     """
@@ -264,7 +306,7 @@
                 outcome = outcome_of(action.upstream)
                 host.call(host.balancer.health_check_ended, action.upstream, outcome, MILLISECOND)
         if host.balancer.endpoints.is_watching:
-            host.fail_poll()
+            host.fail_poll(failure)
         allowed.append([host.may_send_to(upstream) for upstream in host.upstreams])
     return allowed
 
@@ -313,7 +355,10 @@
 def test_health_checks_begin_only_shortly_before_the_list_becomes_stale():
     host = Host()
     host.open_confirmed_watch()
-    assert not any(isinstance(action, HealthCheck) for action in host.advance(START + 30 * SECOND))
+    while host.now < START + 30 * SECOND:
+        actions = host.advance(host.now + endpoints.MAX_WATCH_WAIT)
+        assert not any(isinstance(action, HealthCheck) for action in actions)
+        host.call(host.balancer.endpoints_confirmed)
     host.fail_poll()
 
     actions = host.advance(host.now + NOTIFIED_AFTER - 3 * SECOND)
--- a/tests/server/test_endpoint_discovery.py
+++ b/tests/server/test_endpoint_discovery.py
@@ -80,29 +80,74 @@
         assert (await calls.failures.get())[0] is PollFailure.UNREACHABLE
 
 
-async def test_response_without_changes_confirms_the_list(monkeypatch):
+async def test_answer_confirms_the_list_as_of_its_poll(monkeypatch, release):
     calls = PolicyCalls(monkeypatch)
-    is_confirmed = asyncio.Event()
 
-    def script(head, _):
-        if b"since" in head and is_confirmed.is_set():
-            return None
-        if b"since" in head:
-            is_confirmed.set()
-            return UNCHANGED
-        return ONE_ENDPOINT
+    async def script(head, _):
+        if b"since" not in head:
+            await asyncio.sleep(0.05)
+            return ONE_ENDPOINT
+        await release.wait()
+        return UNCHANGED
 
     async with (
         ScriptedPeer(script) as service,
         RunningBalancer(discovery=service.address, env=POLLING),
     ):
-        assert await calls.confirmations.get() == 0, "the whole list"
-        assert await calls.confirmations.get() == 0, "no changes"
+        assert await calls.confirmations.get() >= SECOND // 20, "the whole list"
+        await wait_until(lambda: len(service.requests) == 2)
+        began_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.05)
+        release.set()
+        assert await calls.confirmations.get() >= SECOND // 20, "no changes, before the wait's end"
+        assert asyncio.get_running_loop().time() >= began_at + 0.05
         assert calls.failures.empty()
 
 
-async def test_long_poll_without_a_response_confirms_the_list_as_of_its_start(monkeypatch):
-    monkeypatch.setattr(endpoint_discovery, "WATCH_HELD_S", 0.05)
+async def test_answer_without_changes_after_the_whole_wait_confirms_the_list_as_of_its_end(
+    monkeypatch,
+):
+    calls = PolicyCalls(monkeypatch)
+
+    async def script(head, _):
+        if b"since" not in head:
+            return ONE_ENDPOINT
+        wait_ms = int(request_target(head).rpartition(b"=")[2])
+        await asyncio.sleep(wait_ms / 1000)
+        return UNCHANGED
+
+    async with (
+        ScriptedPeer(script) as service,
+        RunningBalancer(discovery=service.address, env=polling(within_us=1_000_000)),
+    ):
+        await calls.confirmations.get()
+        assert await calls.confirmations.get() < SECOND // 4, "the poll waited for half a second"
+
+
+async def test_wait_is_halved_after_an_answer_that_confirms_an_old_list():
+    waits_ms = []
+
+    async def script(head, _):
+        if b"since" not in head:
+            return ONE_ENDPOINT
+        waits_ms.append(int(request_target(head).rpartition(b"=")[2]))
+        if len(waits_ms) > 1:
+            return None
+        await asyncio.sleep(0.3)
+        change = endpoint_rows(["127.0.0.1:9", "127.0.0.1:9"])[1:]
+        return make_response(body=encode_endpoint_list(2, change, whole=False))
+
+    async with (
+        ScriptedPeer(script) as service,
+        RunningBalancer(discovery=service.address, env=polling(within_us=1_000_000)),
+    ):
+        await wait_until(lambda: len(waits_ms) == 2)
+    assert waits_ms == [500, 250]
+
+
+async def test_long_poll_without_an_answer_does_not_confirm_the_list(monkeypatch):
+    # A watch that was open for 2.1 s counted as held by the service, and confirmed the list.
+    monkeypatch.setattr(endpoint_discovery, "WATCH_MARGIN_S", 0.05)
     calls = PolicyCalls(monkeypatch)
 
     def script(head, _):
@@ -112,10 +157,11 @@
 
     async with (
         ScriptedPeer(script) as service,
-        RunningBalancer(discovery=service.address, env=POLLING),
+        RunningBalancer(discovery=service.address, env=polling(within_us=1_000_000)),
     ):
-        assert await calls.confirmations.get() == 0, "the whole list"
-        assert await calls.confirmations.get() == 50_000_000
+        await calls.confirmations.get()
+        assert await calls.failures.get() == (PollFailure.SILENT, 0)
+        assert calls.confirmations.empty()
 
 
 async def test_balancer_polls_at_its_start_only_if_it_has_no_list(
--- a/tests/server/test_endpoint_watch_failures.py
+++ b/tests/server/test_endpoint_watch_failures.py
@@ -13,6 +13,7 @@
     endpoint_rows,
     polling,
     wait_until,
+    with_permissions,
 )
 from tests.server.peers import ScriptedPeer, always, make_response
 
@@ -30,6 +31,11 @@
     make_response(body=b"[]"),
 ]
 
+# So that each request at an upstream is one of a client.
+WITHOUT_HEALTH_CHECKS = polling(within_us=10**9) | {
+    "permissions": with_permissions(probes=False)["permissions"]
+}
+
 
 def indent(encoded_rows):
     """Return a list of version 5 with white space, as a service may send it."""
@@ -42,7 +48,8 @@
     """Make the watch time out, and the policy poll again, within 100 ms."""
     monkeypatch.setattr(endpoint_discovery, "WATCH_MARGIN_S", 0.1)
     monkeypatch.setattr(endpoints, "MIN_ROUND", 100 * MILLISECOND)
-    monkeypatch.setattr(endpoints, "NOTIFIED_AFTER", 100 * MILLISECOND)
+    # Long enough for the requests of the test; the first retry comes after MIN_ROUND.
+    monkeypatch.setattr(endpoints, "NOTIFIED_AFTER", endpoints.POLL_TIMEOUT)
     monkeypatch.setattr(endpoints, "MAX_WATCH_WAIT", 100 * MILLISECOND)
     monkeypatch.setattr(endpoints, "LONGEST_ROUNDS", {})
 
@@ -84,7 +91,7 @@
         ScriptedPeer(always(make_response())) as first,
         ScriptedPeer(always(make_response())) as second,
         FailingWatch([first.address, second.address], ending) as service,
-        RunningBalancer(discovery=service.address, env=polling(within_us=10**9)) as balancer,
+        RunningBalancer(discovery=service.address, env=WITHOUT_HEALTH_CHECKS) as balancer,
     ):
         await wait_until(lambda: balancer.app.discovery.version == 5)
 
