Health checks count only while discovery may be down, and show drains

Callers saw requests at draining servers for as long as polls failed, where such a server still passes health checks.

Cause: a passed health check was taken as proof that the endpoint list has the upstream as ready.

Evidence: real processes, test_unanswered_watches: sends up to 9.0 s after the only answer, 6.35 s allowed, with health checks that pass, while polls were never answered or refused after 1.9 s.

Now a health check counts only while the last retry failed as in an outage: no connection, or an end within 2.2 s. A service that stays silent or keeps a poll for longer is running, and changes count as notified 6 s later.

New kinds of a failed poll: interrupted, held. Checks that move: a lost connection is interrupted, no longer unreachable.

--- a/pepperhook/balancer.py
+++ b/pepperhook/balancer.py
@@ -7,6 +7,7 @@
 from pepperhook.policy.admission import AdmissionQueue
 from pepperhook.policy.capacity import SERVICE_TIME_MODEL, Capacity
 from pepperhook.policy.completion import Completion
+from pepperhook.policy.drain_check import DrainCheck
 from pepperhook.policy.endpoints import Endpoints
 from pepperhook.policy.guard import Guard
 from pepperhook.policy.load_query import LoadQueries
@@ -31,6 +32,7 @@
         self.subset = Subset(self)
         self.slow_start = SlowStart(self)
         self.outliers = OutlierDetector(self)
+        self.drain_check = DrainCheck(self)
         self.load_queries = LoadQueries(self)
         self.capacity = Capacity(self)
         self.completion = Completion(self)
@@ -76,6 +78,7 @@
         self, now: int, whole: bool, updates: Sequence[EndpointUpdate]
     ) -> None:
         """Apply the endpoint list and update the members of the subset."""
+        self.drain_check.endpoints_change(now, updates)
         self.subset.apply(now, whole, updates)
         self._update_members(now)
 
@@ -106,6 +109,7 @@
     def on_health_check_ended(self, now: int, upstream: Upstream, outcome: Outcome) -> None:
         """Update the upstream's health, then continue requests that waited for its load report."""
         self.outliers.check_ended(now, upstream, outcome)
+        self.drain_check.check_ended(upstream, outcome)
         self.load_queries.check_ended(now, upstream)
 
     def on_reconfigured(self, now: int, settings: Settings) -> None:
--- a/pepperhook/capture/legacy_state.py
+++ b/pepperhook/capture/legacy_state.py
@@ -44,7 +44,11 @@
         "is_confirmed",
         "planned_at",
         "shown_ready_at",
+        "service_may_be_down",
         "is_reported_stale",
+        "drains_pass_checks",
+        "next_check_at",
+        "checked",
     )
 )
 KEEP_GONE_NS = 60 * 10**9  # how long 0.2 kept the position of an upstream that was gone
@@ -116,6 +120,7 @@
     "subset": "pepperhook.policy.subset.Subset",
     "slow_start": "pepperhook.policy.slow_start.SlowStart",
     "outliers": "pepperhook.policy.outlier.OutlierDetector",
+    "drain_check": "pepperhook.policy.drain_check.DrainCheck",
     "load_queries": "pepperhook.policy.load_query.LoadQueries",
     "capacity": "pepperhook.policy.capacity.Capacity",
     "completion": "pepperhook.policy.completion.Completion",
@@ -339,7 +344,9 @@
         endpoints.is_watching = endpoints.is_confirmed = discovery.watching
         endpoints.notified_after = min(NOTIFIED_AFTER, discovery.within)
         endpoints.good_until = discovery.asked + endpoints.notified_after
-        endpoints.is_reported_stale = False
+        new.drain_check.drains_pass_checks, new.drain_check.checked = False, None
+        new.drain_check.next_check_at = old.now
+        endpoints.service_may_be_down = endpoints.is_reported_stale = False
         endpoints.backoff = endpoints.make_backoff()
         # 0.2 had at most one timer that opens a watch, and gave it no argument. A timer opens a
         # watch only if its argument is equal to planned_at, so that has to be None as well.
--- a/pepperhook/capture/state_factory.py
+++ b/pepperhook/capture/state_factory.py
@@ -31,6 +31,7 @@
     "pepperhook.policy.endpoints": {"Endpoints"},
     "pepperhook.policy.guard": {"Guard"},
     "pepperhook.policy.load_query": {"LoadQueries"},
+    "pepperhook.policy.drain_check": {"DrainCheck"},
     "pepperhook.policy.outlier": {"OutlierDetector"},
     "pepperhook.policy.priority": {"Priority"},
     "pepperhook.policy.retry_budget": {"RetryBudget"},
--- a/pepperhook/domain.py
+++ b/pepperhook/domain.py
@@ -74,8 +74,11 @@
 class PollFailure(StrEnum):
     """How a poll of the endpoint list or a watch on it failed."""
 
-    UNREACHABLE = "unreachable"  # the connection failed or was lost
+    UNREACHABLE = "unreachable"  # no connection could be established
+    INTERRUPTED = "interrupted"  # the connection was lost
     REFUSED = "refused"  # the response was not an endpoint list
+    # As INTERRUPTED or REFUSED, but after longer than a poll is queued. So the service is running.
+    HELD = "held"
     SILENT = "silent"  # no response within the timeout
     # The host reports no reason. Then the settings alone say for how long the list holds.
     UNSPECIFIED = "unspecified"
@@ -112,7 +115,7 @@
         self.unreachable_since: int | None = None
         self.health_check_running = False
         self.health_check_began_at = 0
-        # Start of the latest passed health check; a draining upstream passes none.
+        # Start of the latest passed health check. A draining upstream may still pass some.
         self.shown_ready_at = 0
         self.health_check_due_at = 0
         self.slow_start_since: int | None = None
--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -16,7 +16,14 @@
 # By the settings, a list holds so many times longer after a failed poll than without one.
 FAILED_POLL_FACTOR = 4
 # Maximum length of rounds after failures that put no load on the service.
-LONGEST_ROUNDS = {PollFailure.UNREACHABLE: 3 * SECOND, PollFailure.SILENT: SECOND}
+LONGEST_ROUNDS = {
+    PollFailure.UNREACHABLE: 3 * SECOND,
+    PollFailure.INTERRUPTED: 3 * SECOND,
+    PollFailure.HELD: 3 * SECOND,
+    PollFailure.SILENT: SECOND,
+}
+# Failures of a service that may be down. Until it is back, the balancer does not count as notified.
+DOWN_FAILURES = (PollFailure.UNREACHABLE, PollFailure.INTERRUPTED, PollFailure.REFUSED)
 # An outage of some seconds causes two failed polls; more are taken for overload, and rounds double.
 STEADY_FAILURES, MAX_DOUBLINGS = 2, 2
 CHECK_LEAD = 2 * SECOND  # health checks begin this long before the endpoint list becomes stale
@@ -32,6 +39,7 @@
         self.notified_after = min(NOTIFIED_AFTER, self.settings.endpoint_poll_within_ns)
         # Time until which the current list is valid; only answers extend it, open subscriptions apart.
         self.good_until = now + self.notified_after
+        self.service_may_be_down = False
         self.is_reported_stale = False
         self.backoff = self.make_backoff()
         if self.polls:
@@ -67,6 +75,7 @@
     def confirm(self, at: int) -> None:
         """Record that the service has answered with the list as it was at time ``at``."""
         self.is_confirmed = self.is_watching
+        self.service_may_be_down = False
         self.good_until = at + self.notified_after
         self.backoff.reset()
 
@@ -74,6 +83,9 @@
         """Process a failed poll or the end of a watch, and schedule the next watch."""
         if not self.polls:
             return
+        # An outage ends a watch at any time, so how long its last poll took shows nothing.
+        if failure is PollFailure.UNREACHABLE or not self.is_confirmed:
+            self.service_may_be_down = failure in DOWN_FAILURES
         if failure is not PollFailure.SILENT:
             self._extend_by_subscription(now)
         if failure is PollFailure.UNSPECIFIED:
@@ -109,17 +121,14 @@
             )
 
     def is_stale(self, now: int, upstream: Upstream) -> bool:
-        """Rule 3: return whether the upstream may be draining or gone without this balancer's knowledge.
-
-        A draining upstream passes no health check, so a passed one shows that the upstream was ready.
-        """
+        """Rule 3: return whether the upstream may be draining or gone without this balancer's knowledge."""
         if not self.polls or self._is_subscribed():
             return False
-        return now > max(self.good_until, upstream.shown_ready_at + self.notified_after)
+        return now > max(self.good_until, self._shown_ready_until(upstream))
 
     def needs_health_check(self, now: int, upstream: Upstream) -> bool:
         """Return whether sending to the upstream may soon require that it has passed a health check."""
-        if not self.polls or self._is_subscribed():
+        if not self.polls or self._is_subscribed() or self.balancer.drain_check.drains_pass_checks:
             return False
         return now + CHECK_LEAD > max(self.good_until, upstream.shown_ready_at + self.notified_after)
 
@@ -127,3 +136,11 @@
         # After failed calls only once the subscription is confirmed: confirm() resets failed_polls.
         is_open = self.is_watching and not self.backoff.failed_polls
         return is_open and self.settings.subscribes_to_endpoints
+
+    def _shown_ready_until(self, upstream: Upstream) -> int:
+        # A draining upstream may pass health checks. So they count only while the service may be down, and
+        # until one was seen to pass.
+        is_trusted = self.service_may_be_down and not self.balancer.drain_check.drains_pass_checks
+        if is_trusted or self.settings.subscribes_to_endpoints:
+            return upstream.shown_ready_at + self.notified_after
+        return 0
--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -38,6 +38,9 @@
 WATCH_MARGIN_S = 0.5  # that a response may take beyond the requested wait
 FETCH_TIMEOUT_S = 2.5  # the service drops polls that it could not answer in two seconds
 CONNECT_TIMEOUT_S = 1.5
+# A service that is down or overloaded fails a poll within two seconds. One that keeps it for longer
+# is running. 0.2 s for the transit.
+MAX_QUEUE_TIME_NS = 2200 * 10**6
 EARLY_RESPONSE_S = 0.05  # a response without changes within this time is followed by a pause
 EARLY_RESPONSE_PAUSE_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
@@ -192,7 +195,7 @@
         return True
 
     def _poll_failed(self, error: BaseException, duration_ns: int) -> None:
-        failure = _failure(error)
+        failure = _failure(error, duration_ns - self.runtime.lateness_ns())
         self.counters.add("list failed")
         self.counters.add(f"list failed {failure}")
         self.log.warning(
@@ -366,13 +369,16 @@
     return duration_ns - wait_ns if is_unchanged and duration_ns >= wait_ns else duration_ns
 
 
-def _failure(error: BaseException) -> PollFailure:
-    """Return the policy's classification of a failed poll."""
-    if isinstance(error, (ConnectFailedError, ConnectionLostError)):
+def _failure(error: BaseException, duration_ns: int) -> PollFailure:
+    """Return the policy's classification of a poll that failed after ``duration_ns``."""
+    if isinstance(error, ConnectFailedError):
         return PollFailure.UNREACHABLE
     if isinstance(error, TimeoutError):
         return PollFailure.SILENT
-    return PollFailure.REFUSED
+    if duration_ns > MAX_QUEUE_TIME_NS:
+        return PollFailure.HELD
+    is_lost = isinstance(error, ConnectionLostError)
+    return PollFailure.INTERRUPTED if is_lost else PollFailure.REFUSED
 
 
 async def _read_list(response: aiohttp.ClientResponse) -> bytes:
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -366,6 +366,34 @@
     assert not any(isinstance(action, HealthCheck) for action in actions)
 
 
+@pytest.mark.parametrize("failure", [PollFailure.SILENT, PollFailure.HELD])
+def test_health_checks_do_not_count_while_the_service_runs_but_does_not_answer(failure):
+    # A draining upstream that passes health checks got requests for as long as polls failed.
+    host = Host()
+    host.open_confirmed_watch()
+    answered_at = host.now
+    host.fail_poll(failure)
+
+    allowed = run_while_polls_fail(
+        host, lambda _: Outcome.SERVED, answered_at + 20 * SECOND, failure
+    )
+
+    steps_while_valid = NOTIFIED_AFTER // (10 * MILLISECOND)
+    assert all(all(row) for row in allowed[: steps_while_valid - 1])
+    assert not any(any(row) for row in allowed[steps_while_valid:])
+
+
+@pytest.mark.parametrize("failure", [PollFailure.UNREACHABLE, PollFailure.INTERRUPTED])
+def test_health_checks_count_while_the_service_may_be_down(failure):
+    host = Host()
+    host.open_confirmed_watch()
+    host.fail_poll(failure)
+
+    allowed = run_while_polls_fail(host, lambda _: Outcome.SERVED, host.now + 20 * SECOND, failure)
+
+    assert all(all(row) for row in allowed)
+
+
 # When the list is polled.
 
 
--- a/tests/server/test_endpoint_discovery.py
+++ b/tests/server/test_endpoint_discovery.py
@@ -56,7 +56,7 @@
         (make_response(503, headers=b"Retry-After: -4\r\n"), PollFailure.REFUSED, 0),
         (make_response(503, headers=b"Retry-After: 9999\r\n"), PollFailure.REFUSED, 60 * SECOND),
         (make_response(body=b"[]"), PollFailure.REFUSED, 0),
-        ((b"",), PollFailure.UNREACHABLE, 0),
+        ((b"",), PollFailure.INTERRUPTED, 0),
         (None, PollFailure.SILENT, 0),
     ],
 )
@@ -80,6 +80,17 @@
         assert (await calls.failures.get())[0] is PollFailure.UNREACHABLE
 
 
+@pytest.mark.parametrize("response", [make_response(503), (b"",)])
+async def test_poll_that_fails_after_longer_than_it_can_be_queued_was_held(response, monkeypatch):
+    monkeypatch.setattr(endpoint_discovery, "MAX_QUEUE_TIME_NS", 0)
+    calls = PolicyCalls(monkeypatch)
+    async with (
+        ScriptedPeer(always(response)) as service,
+        RunningBalancer(discovery=service.address, env=POLLING),
+    ):
+        assert await calls.failures.get() == (PollFailure.HELD, 0)
+
+
 async def test_answer_confirms_the_list_as_of_its_poll(monkeypatch, release):
     calls = PolicyCalls(monkeypatch)
 
