The first poll of a watch asks for an answer at once

With only answers as confirmation, balancers held their list stale for 0.6 s after a start and about 1 s after a silent watch: the first poll waited 3 s for a change before it was answered.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -41,6 +41,8 @@
 # A service that is down or overloaded fails a poll within two seconds. One that keeps it for longer
 # is running. 0.2 s for the transit.
 MAX_QUEUE_TIME_NS = 2200 * 10**6
+# The first poll of a watch is to be answered at once, as the list may be about to become stale.
+FIRST_WAIT_MS = 1
 EARLY_RESPONSE_S = 0.05  # a response without changes within this time is followed by a pause
 EARLY_RESPONSE_PAUSE_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
@@ -144,11 +146,12 @@
 
     async def _watch(self) -> None:
         """Poll again immediately after each response; to the policy this is one watch."""
-        continues = True
+        continues, wait_ms = True, FIRST_WAIT_MS
         while continues:
             started_at_s = self.runtime.loop.time()
             version_before = self.version
-            continues = await self._poll(self._next_wait_ms())
+            continues = await self._poll(wait_ms)
+            wait_ms = self._next_wait_ms()
             is_early = self.runtime.loop.time() < started_at_s + EARLY_RESPONSE_S
             if continues and self.version == version_before and is_early:
                 # A service that does not wait must not be polled in a tight loop. To the policy,
@@ -210,7 +213,8 @@
         self.runtime.call_policy(policy.endpoint_poll_failed, failure, retry_after_ns)
 
     async def _request(self, query: Query, wait_ms: int) -> bytes:
-        timeout_s = wait_ms / MS_PER_S + WATCH_MARGIN_S if query else FETCH_TIMEOUT_S
+        waits = bool(query) and wait_ms > FIRST_WAIT_MS
+        timeout_s = wait_ms / MS_PER_S + WATCH_MARGIN_S if waits else FETCH_TIMEOUT_S
         return await http1_client.exchange(
             self.session,
             "GET",
--- a/tests/server/test_endpoint_discovery.py
+++ b/tests/server/test_endpoint_discovery.py
@@ -135,6 +135,25 @@
         assert await calls.confirmations.get() < SECOND // 4, "the poll waited for half a second"
 
 
+async def test_first_poll_of_a_watch_asks_for_an_answer_at_once(monkeypatch):
+    # A retried watch confirmed the list only at the end of its wait, when it was stale.
+    monkeypatch.setattr(endpoints, "MIN_ROUND", SECOND // 10)
+    waits_ms = []
+
+    def script(head, _):
+        if b"since" not in head:
+            return ONE_ENDPOINT
+        waits_ms.append(int(request_target(head).rpartition(b"=")[2]))
+        return make_response(503) if len(waits_ms) == 1 else UNCHANGED
+
+    async with (
+        ScriptedPeer(script) as service,
+        RunningBalancer(discovery=service.address, env=polling(within_us=1_000_000)),
+    ):
+        await wait_until(lambda: len(waits_ms) >= 3)
+    assert waits_ms[:3] == [500, 1, 500]
+
+
 async def test_wait_is_halved_after_an_answer_that_confirms_an_old_list():
     waits_ms = []
 
