A version does not make an upstream ready that a whole endpoint list left out

Operators of the control plane would see an upstream listed as ready that was gone, and requests handed to it in vain after the next version; the capacity and drain checks counted it too. Nothing was sent: its address was forgotten.

Cause: the control plane keeps the list's rows, and learns of a gone upstream by its row only. A whole list tells it by leaving the upstream out.

Now the rows of upstreams that the balancer no longer lists are removed after each list.

--- a/pepperhook/control_plane/extension.py
+++ b/pepperhook/control_plane/extension.py
@@ -112,9 +112,11 @@
         self.applier.endpoints.update(rows)
         return override_states(rows, self.applier.document)
 
-    def listed(self, _now: int, upstreams: list[Any]) -> None:
-        """Set the document's weights on upstreams that are new in the endpoint list."""
-        self.applier.correct_weights(upstreams)
+    def listed(self, _now: int, upstreams: Iterable[Any]) -> None:
+        """Forget upstreams that are gone, and set the document's weights on new ones."""
+        listed = list(upstreams)
+        self.applier.endpoints.retain(listed)
+        self.applier.correct_weights(listed)
 
     def answered(self, now: int, request: Any, answer: Any) -> None:
         """Count whether a request was served within its latency objective."""
--- a/pepperhook/control_plane/listed_endpoints.py
+++ b/pepperhook/control_plane/listed_endpoints.py
@@ -22,6 +22,11 @@
             else:
                 self._rows[row.upstream] = row
 
+    def retain(self, upstreams: Iterable[Any]) -> None:
+        """Remove the rows of all other upstreams, which a whole list no longer names."""
+        listed = set(upstreams)
+        self._rows = {upstream: row for upstream, row in self._rows.items() if upstream in listed}
+
     def upstreams(self) -> list[Any]:
         """Return all upstreams that are listed."""
         return list(self._rows)
--- a/tests/control_plane/test_version_applier.py
+++ b/tests/control_plane/test_version_applier.py
@@ -9,7 +9,13 @@
 from pepperhook.rate_limit.extension import RateLimitExtension
 from pepperhook.server.extensions import Extensions
 from tests.control_plane.helpers import control_extension, document, signed_version
-from tests.server.balancers import ENVIRONMENT, RunningBalancer, make_config
+from tests.server.balancers import (
+    ENVIRONMENT,
+    RunningBalancer,
+    endpoint_list,
+    endpoint_rows,
+    make_config,
+)
 
 UNREACHABLE = "127.0.0.1:9"
 # Safety checks that could reject the versions before they are applied.
@@ -116,6 +122,21 @@
         assert fixture.applier.rejection is None
 
 
+async def test_version_does_not_make_an_upstream_ready_that_a_whole_list_left_out():
+    # The next version made the upstream ready again, and requests were handed to it in vain.
+    fixture = BalancerWithRateLimits(None)
+    async with fixture.balancer:
+        rows = endpoint_rows(["127.0.0.1:9", "127.0.0.1:10"])
+        fixture.balancer.app.discovery.apply(endpoint_list(2, rows))
+        assert b"h2" not in {each.address for each in fixture.balancer.ready_upstreams}
+
+        assert fixture.applier.receive(signed_version(1, FIRST_DOCUMENT, forced=FORCED))
+
+        ready = {upstream.address for upstream in fixture.balancer.ready_upstreams}
+        assert ready == {b"h0", b"h1"}
+        assert fixture.applier.endpoints.ready_names() == ["h0", "h1"]
+
+
 async def test_last_good_version_that_cannot_be_applied_leaves_the_startup_settings_in_force(
     monkeypatch,
 ):
