--- a/tests/policy/test_drain_check.py
+++ b/tests/policy/test_drain_check.py
@@ -5,7 +5,8 @@
 from pepperhook.actions import HealthCheck, OperatorNote
 from pepperhook.domain import EndpointUpdate, Outcome, UpstreamState
 from pepperhook.policy.drain_check import CHECK_AFTER, MIN_INTERVAL
-from tests.policy.test_endpoints import MILLISECOND, SECOND, Host, run_while_polls_fail
+from tests.policy.endpoint_host import MILLISECOND, SECOND, Host
+from tests.policy.test_endpoints import run_while_polls_fail
 
 
 def drain(host, upstream):
