Reproduce a process over its memory limit beside crowds of misbehaving clients

Callers' report: a balancer's process passed its memory limit and was killed, while hundreds of clients wrote slowly, stopped half way, or sent what is no HTTP.

Crowds in a process of their own, real balancers over loopback, the limit in their settings, peak of resident memory (VmHWM).

--- a/tests/server/balancer_process.py
+++ b/tests/server/balancer_process.py
@@ -1,11 +1,14 @@
 """Balancers that run as processes of their own."""
 
 import asyncio
+import re
+from pathlib import Path
 
 from tests.programs import free_port, start_program
 from tests.server.balancers import RunningBalancer
 
 EXIT_TIMEOUT_S = 60
+KB_PER_MB = 1024
 
 
 class BalancerProcess(RunningBalancer):
@@ -34,3 +37,8 @@
         """Wait for the end of the process; return the rest of its log."""
         _, log = await asyncio.to_thread(self.process.communicate, timeout=EXIT_TIMEOUT_S)
         return log
+
+    def peak_memory_mb(self):
+        """Return the peak of the process's resident memory since its start."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / KB_PER_MB
--- /dev/null
+++ b/tests/server/test_memory_limit.py
@@ -0,0 +1,66 @@
+"""A balancer stays under its memory limit, and serves good clients, beside misbehaving ones."""
+
+import contextlib
+import threading
+
+import pytest
+
+from tests.programs import write_config
+from tests.server.balancer_process import BalancerProcess
+from tests.server.balancers import endpoint_list, endpoint_rows
+from tests.server.client_crowd import crowd
+from tests.server.good_clients import send_good_requests
+from tests.server.peers import ScriptedPeer, always, make_response
+
+SOCKETS = 1024
+CROWD = 800  # clients, more than the descriptors allow at once
+OBSERVED_S = 5.0  # two message timeouts and a half
+MIN_SERVED_SHARE = 0.9  # docs/client-limits.md: of good clients beside a crowd
+
+
+@contextlib.asynccontextmanager
+async def balancer_with_limit(directory, memory_mb):
+    """Run a balancer with a memory limit in its configuration, and two upstreams."""
+    async with (
+        ScriptedPeer(always(make_response())) as first,
+        ScriptedPeer(always(make_response())) as second,
+    ):
+        known = endpoint_list(1, endpoint_rows([first.address, second.address]))
+        limits = {"memory_mb": memory_mb, "sockets": SOCKETS}
+        balancer = BalancerProcess(write_config(directory, known=known, limits=limits))
+        try:
+            await balancer.wait_for_event("started")
+            # A pipe that nobody reads would block the balancer at its next log line.
+            threading.Thread(target=balancer.process.stderr.read, daemon=True).start()
+            yield balancer
+        finally:
+            balancer.process.kill()
+            balancer.process.wait()
+
+
+@pytest.mark.parametrize(
+    ("play", "clients", "memory_mb"),
+    [
+        ("tiny_chunks", CROWD, 192),
+        ("tiny_chunks", CROWD, 64),
+        ("half_body", CROWD, 192),
+        ("half_body", CROWD, 64),
+        ("short_fields_head", CROWD, 64),
+        ("too_many_fields", CROWD, 64),
+        ("large_body", CROWD, 64),
+        ("large_chunks", CROWD, 64),
+        ("random_bytes", 1, 64),
+        ("random_bytes", 50, 64),
+    ],
+)
+async def test_crowd_exceeds_neither_memory_limit_nor_share_of_good_clients(
+    tmp_path, play, clients, memory_mb
+):
+    # A process with its limit in its settings was killed for memory beside hundreds of clients.
+    async with balancer_with_limit(tmp_path, memory_mb) as balancer:
+        with crowd(balancer.port, play, clients):
+            responses = await send_good_requests(balancer, OBSERVED_S)
+        peak_mb = balancer.peak_memory_mb()
+
+    assert peak_mb < memory_mb
+    assert responses.served_share >= MIN_SERVED_SHARE
