Bound what is read and buffered at once of a client's message

Callers saw a process over its memory limit, killed with all that it had taken.

Cause: the event loop reads up to 256 KB from a socket before any limit of ours is asked, and the library keeps up to 16,384 parsed chunks of a body, a chunk of two bytes at 40 times its size. On hundreds of connections either exceeds the limit. The class: received bytes are multiplied before they are counted.

Now a read passes on at most 16 KB, over one shared buffer, for clients and upstreams, and a client's parsed bytes wait in at most 4 KB or 256 chunks.

--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from pepperhook.server import http1_client
+from pepperhook.server.bounded_reads import BoundedReads
 
 if TYPE_CHECKING:
     from pepperhook.server.config import Address
@@ -32,7 +33,7 @@
 MAX_BUSY_FRACTION = 0.9  # of the soft limit that may be busy; requests beyond it are refused
 
 
-class Connection(web.RequestHandler):
+class Connection(BoundedReads, web.RequestHandler):  # type: ignore[misc]  # as asyncio.Protocol
     """One HTTP/1.1 connection; notifies ``Connections`` of data before the library handles it."""
 
     def __init__(self, connections: Connections, waited_s: float, **options: Any) -> None:
--- a/pepperhook/server/http1_client.py
+++ b/pepperhook/server/http1_client.py
@@ -26,6 +26,7 @@
     SocketLimitError,
     StaleConnectionError,
 )
+from pepperhook.server.bounded_reads import BoundedReads
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_STALE_CONNECTIONS = 20  # tried in a row for one request
@@ -64,7 +65,7 @@
     raise TypeError(f"{type(error).__name__} is not an error of aiohttp") from error
 
 
-class ResponseReader(ResponseHandler):
+class ResponseReader(BoundedReads, ResponseHandler):  # type: ignore[misc]  # as asyncio.Protocol
     """Reads exactly one response for each request, within a timeout.
 
     The library's parser discards a valid response if invalid bytes follow it in the same read, and
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -25,6 +25,9 @@
 NO_TIMEOUT_S = 10**6
 FINAL_CLOSE_S = 0.1  # for connections that are still open after a graceful shutdown
 CLOSE_CHECK_INTERVAL_S = 0.01
+# Parsed bytes of a body that wait to be read. The library also derives from it how many chunks may
+# wait, here 256: a chunk of two bytes takes 40 times its size.
+READ_BUFFER_BYTES = 4096
 RESPONSE_WRITE_TIMEOUT_S = 5  # for a client to read its response
 
 
@@ -67,6 +70,7 @@
             keepalive_timeout=NO_TIMEOUT_S,
             lingering_time=0,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
 
     def enable_http2(self, max_streams: int) -> None:
