Keep only the beginning of what the parser reports of unreadable bytes

One client that sent random bytes and connected again took a process from 38 to 278 MB in 5 s (limit 64 MB).

Cause: a parse error quotes all bytes of the read, four times as long, and its traceback is a reference cycle over the frame that holds them: only a rare full garbage collection frees them.

Now the message is cut to 200 characters and the traceback is dropped.

--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
+from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.web_protocol import _ErrInfo
 
 from pepperhook.server import http1_client
 from pepperhook.server.bounded_reads import BoundedReads
@@ -23,6 +25,7 @@
 IDLE_TIMEOUT_S = 10  # after which an idle keep-alive connection is closed
 SWEEP_INTERVAL_S = 0.2  # between checks for expired connections
 MAX_HEAD_BYTES = 32 * 1024  # of an incomplete request head
+MAX_REASON_LENGTH = 200  # characters of a parser's error that are kept
 LINGER_S = 0.4  # to wait for the client's FIN after ours, before the connection is closed
 MAX_DISCARDED_BYTES = 256 * 1024  # read and discarded in that time; the rest is left unread
 MIN_IDLE_S = 0.1  # a connection created or used more recently is not closed to make room
@@ -61,6 +64,7 @@
         current = self._current_request
         is_early = data and current is not None and current.content.is_eof()
         super().data_received(data)
+        self._shorten_parse_errors()
         messages = self._request_count - self.requests_before
         if messages > 1 or is_early:
             # A pipelining client could queue hundreds of messages here. Stop reading, but still
@@ -72,6 +76,19 @@
             if self.received_bytes > MAX_HEAD_BYTES:
                 self.connections.reject(self, "431 Request Header Fields Too Large")
 
+    def _shorten_parse_errors(self) -> None:
+        """Keep only the beginning of what the parser reports of unreadable bytes.
+
+        Its message quotes all of them, four times as long. Its traceback refers to itself, by the
+        frame that holds the bytes, so that only a rare full garbage collection would free them.
+        """
+        for number, (message, payload) in enumerate(self._messages):
+            if isinstance(message, _ErrInfo):
+                reason = message.message[:MAX_REASON_LENGTH]
+                message.exc.__traceback__ = None
+                short = _ErrInfo(message.status, BadHttpMessage(reason), reason)
+                self._messages[number] = (short, payload)
+
     def _discard(self, data: bytes) -> None:
         self.received_bytes += len(data)
         if self.received_bytes > MAX_DISCARDED_BYTES and self.transport is not None:
