Count what clients' messages hold, and shed unfinished ones before the limit is passed

Cause: the memory of connections was estimated once, at the start (36 MB and 160 KB a connection), and enforced by nothing; a body that never ends counted as a request in flight, which closes no connection and refuses all others.

Now a ledger counts what each connection and HTTP/2 stream holds, from the bytes and fields that were received, against the limit less what the process itself uses. When it is exceeded, the largest unfinished messages are answered 503; when connections are used up, the longest unfinished one is. Taken requests keep their room, and only if they fill it alone are new ones refused.

New in the log: client_memory (both directions), memory (SIGUSR1), memory_limit_too_low; counters messages_shed, incomplete_heads_refused_*.

The soak's memory bound keeps its two figures, now in its own module.

--- a/pepperhook/http2/managed_connection.py
+++ b/pepperhook/http2/managed_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from pepperhook.server.http1_client import has_unread_data
+from pepperhook.server.memory_ledger import CONNECTION_BYTES
 
 
 class ManagedConnection(asyncio.Protocol):
@@ -22,7 +23,20 @@
     received_bytes = 0  # HTTP/1.1 only: of an incomplete head
     expires_at = 0.0  # when it is closed if still idle, in the event loop's time
     transport: asyncio.Transport | None = None
+    is_unfinished = False  # whether it can be shed; each HTTP/2 stream is shed on its own
 
     def has_unread_data(self) -> bool:
         """Whether the socket holds unread data or an unread end of file (FIN)."""
         return self.transport is not None and has_unread_data(self.transport)
+
+    def held_bytes(self) -> int:
+        """Return what the connection holds in memory, without its streams."""
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return CONNECTION_BYTES + unsent
+
+    def message_done(self) -> None:
+        """Record that a response was written."""
+        self.answered = True
+
+    def drop_parser(self) -> None:
+        """Do nothing: only HTTP/1.1 connections have a parser of the library."""
--- a/pepperhook/http2/protocol_detection.py
+++ b/pepperhook/http2/protocol_detection.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from pepperhook.http2.managed_connection import ManagedConnection
-from pepperhook.server.client_connections import MESSAGE_TIMEOUT_S
+from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S
 
 if TYPE_CHECKING:
     from pepperhook.server.client_connections import Connections
--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -21,7 +21,7 @@
 from pepperhook.http2.managed_connection import ManagedConnection
 from pepperhook.http2.protocol import Http2Protocol
 from pepperhook.http2.server_stream import ServerStream
-from pepperhook.server.client_connections import MAX_HEAD_BYTES, MESSAGE_TIMEOUT_S
+from pepperhook.server.client_connection import MAX_HEAD_BYTES, MESSAGE_TIMEOUT_S
 from pepperhook.server.http1_client import MAX_BODY_BYTES, is_closed_by_peer
 
 if TYPE_CHECKING:
@@ -140,6 +140,7 @@
             self.connections.request_begun(self)
         self._schedule_sweep()
         stream.handle_headers(event)
+        self.connections.message_grew(stream)
 
     def _has_free_stream(self) -> bool:
         """Return whether a stream is free, if need be that of the longest waiting response.
@@ -225,6 +226,7 @@
         if self.streams.pop(stream.stream_id, None) is None:
             return
         self.connections.streams.discard(stream)
+        self.connections.ledger.release(stream)
         self.flush()
         self._close_or_mark_idle()
 
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -12,9 +12,10 @@
 from multidict import CIMultiDict
 
 from pepperhook.http2.protocol import OutgoingStream
-from pepperhook.server.client_connections import MESSAGE_TIMEOUT_S
+from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S
 from pepperhook.server.http1_client import MAX_BODY_BYTES
 from pepperhook.server.ingress import PLAIN_TEXT, RequestRefusedError
+from pepperhook.server.memory_ledger import message_bytes
 
 if TYPE_CHECKING:
     from h2.events import DataReceived, RequestReceived
@@ -103,16 +104,33 @@
         if self.is_refused:
             return
         if len(self.body) + len(event.data) > MAX_BODY_BYTES:
-            self.body.clear()
             self.refuse(_body_too_large_error())
             return
         self.body += event.data
+        self.connection.connections.message_grew(self)
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether the request is not complete."""
+        return not (self.is_complete or self.is_refused)
+
+    def held_bytes(self) -> int:
+        """Return what the request holds in memory."""
+        head = sum(len(name) + len(value) for name, value in self.headers.items())
+        return message_bytes(head, len(self.headers), len(self.body))
+
+    def shed(self) -> None:
+        """Refuse the unfinished request, and free what was received of it."""
+        self.refuse(
+            RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too many requests at once")
+        )
 
     def complete(self) -> None:
         """Start to serve the request, which was received completely."""
         self.is_complete = True
         if self.is_refused:
             return
+        self.connection.connections.message_grew(self)
         length = self.headers.get("Content-Length")
         if length is not None and length != str(len(self.body)):
             # RFC 9113, 8.1.1. The library would check this only for a request with DATA frames.
@@ -135,6 +153,7 @@
     def refuse(self, error: RequestRefusedError) -> None:
         """Respond with an error, and discard what is still received of the request."""
         self.is_refused = True
+        self.body.clear()
         self.connection.ingress.count_refusal(error)
         self._start_own_response(error.status, _error_headers(error), _error_body(error))
 
@@ -150,6 +169,8 @@
     async def _serve(self, service_class: ServiceClass) -> None:
         ingress = self.connection.ingress
         try:
+            if self.connection.connections.ledger.is_exceeded:
+                raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too little memory")
             message = ingress.message(
                 self.method,
                 self.target,
--- a/pepperhook/idempotency/host.py
+++ b/pepperhook/idempotency/host.py
@@ -38,5 +38,6 @@
 
     runtime: Runtime
     counters: Any
+    ledger: Any
     ingress: Any
     requests: Any
--- a/pepperhook/idempotency/peer_server.py
+++ b/pepperhook/idempotency/peer_server.py
@@ -63,6 +63,7 @@
         PeerIngress(ownership, host.ingress),
         _own_address(ownership.own_name, ownership.current),
         CONNECTION_LIMITS,
+        host.ledger,
     )
     server.open()
     return server
--- a/pepperhook/lab/soak/judge.py
+++ b/pepperhook/lab/soak/judge.py
@@ -10,12 +10,14 @@
 from pepperhook.lab.audit import STAMPED_LATE
 from pepperhook.lab.soak.play import Problem, SoakScenarioRun
 from pepperhook.lab.soak.resources import Resources
-from pepperhook.server.app import CONNECTION_KB, PROCESS_MB, SocketBudget
+from pepperhook.server.app import SocketBudget
 
 # Allowed growth of a count: one poll of the endpoint list may be ending while the next begins.
 COUNT_TOLERANCE = 2
 MAX_EXCUSED_SHARE = 0.003  # of requests, excused as a stand-in stalled; above it, the run is void
 KB_PER_MB = 1024
+PROCESS_MB = 36  # of a balancer without connections
+CONNECTION_KB = 160  # of a client connection that soak clients use
 RELOAD_EVENT = re.compile(r"event=reload(?:ed|_refused) .*")
 LAST_RELOAD_MARK = "wait_for_a_restart=sockets"  # in the log line of the last config file
 FAULT_EVENT = re.compile(r"event=(module_fault|background_fault|h2_fault|dispatch_fault)\b.*")
@@ -115,7 +117,7 @@
 
 def memory_bound_mb(sockets: int) -> float:
     """Return the memory limit that README states: the process and all its client connections."""
-    clients = SocketBudget.of(sockets, None).clients.hard
+    clients = SocketBudget.of(sockets).clients.hard
     return float(PROCESS_MB + clients * CONNECTION_KB / KB_PER_MB)
 
 
--- a/pepperhook/server/app.py
+++ b/pepperhook/server/app.py
@@ -6,6 +6,7 @@
 import copy
 import dataclasses
 from collections.abc import Callable
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from pepperhook.balancer import Balancer
@@ -13,6 +14,14 @@
 from pepperhook.server.endpoint_discovery import EndpointDiscovery
 from pepperhook.server.http1_server import ConnectionLimits, Http1Server
 from pepperhook.server.ingress import Ingress
+from pepperhook.server.memory_ledger import (
+    BYTES_PER_MB,
+    CONNECTION_BYTES,
+    MESSAGE_BYTES,
+    MIN_LEDGER_BYTES,
+    MemoryLedger,
+    resident_bytes,
+)
 from pepperhook.server.metrics import Counters
 from pepperhook.server.request_lifecycle import RequestLifecycles
 from pepperhook.server.runtime import Runtime
@@ -27,8 +36,6 @@
 ACCEPT_S = 0.5  # how long a graceful shutdown still accepts connections
 SHUTDOWN_MARGIN_S = 0.3  # added to the longest time limit, to write the last responses
 RESERVED_DESCRIPTORS = 24  # for the endpoint list, the log and the process itself
-PROCESS_MB = 36  # memory of the process itself
-CONNECTION_KB = 160  # maximum memory of a client connection
 NS_PER_MS = 10**6
 # Attributes of Config that take effect only at a restart, not at a reload.
 RESTART_SETTINGS = ("listen", "sockets", "settings")
@@ -42,14 +49,14 @@
     clients: ConnectionLimits
 
     @classmethod
-    def of(cls, sockets: int, memory_mb: int | None) -> SocketBudget:
-        """Give 2/5 to upstreams, 1/2 to clients, and 1/10 to bursts of new clients."""
+    def of(cls, sockets: int, memory_for_clients: float = inf) -> SocketBudget:
+        """Give 2/5 to upstreams, 1/2 to clients, and 1/10 to bursts of new clients.
+
+        ``memory_for_clients``: bytes for all client connections and their messages.
+        """
         usable = sockets - RESERVED_DESCRIPTORS
-        clients = usable // 2
-        if memory_mb is not None:
-            # Incomplete requests on hundreds of connections must not exhaust the memory.
-            affordable = (memory_mb - PROCESS_MB) * 1024 // CONNECTION_KB
-            clients = max(usable // 8, min(clients, affordable))
+        affordable = memory_for_clients / (CONNECTION_BYTES + MESSAGE_BYTES)
+        clients = int(max(usable // 8, min(usable // 2, affordable)))
         limits = ConnectionLimits(soft=clients, hard=clients + usable // 10)
         return cls(usable * 2 // 5, limits)
 
@@ -71,7 +78,9 @@
         self.policy_factory = policy_factory
         self.counters = Counters(log)
         self.runtime = Runtime(log, self.counters)
-        budget = SocketBudget.of(config.sockets, config.memory_mb)
+        self.ledger = MemoryLedger(_memory_limit(config))
+        self.ledger.measure_process(resident_bytes())
+        budget = SocketBudget.of(config.sockets, self.ledger.limit)
         self.upstreams = UpstreamPool(
             self.runtime, log, self.counters, config.settings, budget.upstreams, extensions
         )
@@ -83,7 +92,7 @@
             self.runtime, log, self.counters, config, self.requests, self.discovery, extensions
         )
         self.http_server = Http1Server(
-            self.runtime, self.counters, self.ingress, config.listen, budget.clients
+            self.runtime, self.counters, self.ingress, config.listen, budget.clients, self.ledger
         )
         http2 = extensions.h2
         if http2 is not None or extensions.leaving:
@@ -109,6 +118,7 @@
             hook(self)
         await asyncio.gather(*(hook() for hook in self.extensions.ready))
         self.http_server.open()
+        self._check_memory_limit()
         self.log.info(
             "started",
             name=self.config.name,
@@ -116,6 +126,17 @@
             tier=self.config.settings.tier,
         )
 
+    def _check_memory_limit(self) -> None:
+        """Log a limit that leaves too little memory for messages; the least is served then."""
+        resident = resident_bytes()
+        self.ledger.measure_process(resident)
+        if self.ledger.limit <= MIN_LEDGER_BYTES:
+            self.log.warning(
+                "memory_limit_too_low",
+                limit_mb=self.config.memory_mb,
+                resident_mb=round(resident / BYTES_PER_MB, 1),
+            )
+
     def reload(self, config: Config) -> None:
         """Apply a replaced configuration file, as far as that is possible without a restart.
 
@@ -133,6 +154,7 @@
     def log_state(self) -> None:
         """Log the counters, and the policy's state of each upstream next to that of its sockets."""
         self.log_counters()
+        self.log.info("memory", **self.http_server.server.memory_fields(resident_bytes()))
         policy = self.runtime.policy
         if not hasattr(policy, "retry_budget"):
             return  # a baseline policy for experiments, which has no such state
@@ -198,3 +220,7 @@
         self.counters.log_all()
         for hook in self.extensions.told:
             self.log.info("part", **hook())  # the counters of one extension
+
+
+def _memory_limit(config: Config) -> int | None:
+    return None if config.memory_mb is None else config.memory_mb * BYTES_PER_MB
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -1,4 +1,4 @@
-"""Client connections: the listener, limits, timeouts, and closing idle ones to make room."""
+"""All client connections: the listener, limits, timeouts, and closing some to make room."""
 
 from __future__ import annotations
 
@@ -11,23 +11,23 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
-from aiohttp.http_exceptions import BadHttpMessage
-from aiohttp.web_protocol import _ErrInfo
 
-from pepperhook.server import http1_client
-from pepperhook.server.bounded_reads import BoundedReads
+from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S, Connection
+from pepperhook.server.memory_ledger import (
+    BYTES_PER_MB,
+    CONNECTION_BYTES,
+    MemoryLedger,
+    resident_bytes,
+)
 
 if TYPE_CHECKING:
     from pepperhook.server.config import Address
     from pepperhook.server.metrics import Counters
+    from pepperhook.server.structured_logging import Log
 
-MESSAGE_TIMEOUT_S = 2  # to receive a whole message; for the first one, from connecting
 IDLE_TIMEOUT_S = 10  # after which an idle keep-alive connection is closed
 SWEEP_INTERVAL_S = 0.2  # between checks for expired connections
-MAX_HEAD_BYTES = 32 * 1024  # of an incomplete request head
-MAX_REASON_LENGTH = 200  # characters of a parser's error that are kept
 LINGER_S = 0.4  # to wait for the client's FIN after ours, before the connection is closed
-MAX_DISCARDED_BYTES = 256 * 1024  # read and discarded in that time; the rest is left unread
 MIN_IDLE_S = 0.1  # a connection created or used more recently is not closed to make room
 BACKLOG = 1024  # connections that the kernel queues for this process
 MAX_ACCEPTS = 16  # in one iteration of the event loop
@@ -36,81 +36,6 @@
 MAX_BUSY_FRACTION = 0.9  # of the soft limit that may be busy; requests beyond it are refused
 
 
-class Connection(BoundedReads, web.RequestHandler):  # type: ignore[misc]  # as asyncio.Protocol
-    """One HTTP/1.1 connection; notifies ``Connections`` of data before the library handles it."""
-
-    def __init__(self, connections: Connections, waited_s: float, **options: Any) -> None:
-        """``waited_s``: how long it may have waited to be accepted; ``options``: aiohttp's."""
-        super().__init__(connections, **options)
-        self.connections = connections
-        self.waited_s = waited_s
-        self.is_message_begun = False  # a part of a message was received
-        self.answered = False  # at least one response was written
-        self.expires_at = self._loop.time() + MESSAGE_TIMEOUT_S  # in the loop's time
-        self.received_bytes = 0  # of an incomplete head, or since the connection is closing
-        self.is_pipelined = False  # a message arrived before the previous one was answered
-        self.requests_before = 0  # value of _request_count at the last response
-        self.ending = False  # our side is closed: received data is discarded
-
-    def data_received(self, data: bytes) -> None:
-        """Pass data to the library; refuse pipelining and heads that are too long."""
-        if self.ending:
-            self._discard(data)
-            return
-        # Only once a message: a client that sends byte by byte must not count as recently used.
-        if not self.is_message_begun:
-            self.is_message_begun = True
-            self.connections.data_arrived(self)
-        current = self._current_request
-        is_early = data and current is not None and current.content.is_eof()
-        super().data_received(data)
-        self._shorten_parse_errors()
-        messages = self._request_count - self.requests_before
-        if messages > 1 or is_early:
-            # A pipelining client could queue hundreds of messages here. Stop reading, but still
-            # answer the request in flight.
-            self.is_pipelined = self.is_pipelined or len(self._messages) == messages
-            self.close()
-        elif not messages:
-            self.received_bytes += len(data)
-            if self.received_bytes > MAX_HEAD_BYTES:
-                self.connections.reject(self, "431 Request Header Fields Too Large")
-
-    def _shorten_parse_errors(self) -> None:
-        """Keep only the beginning of what the parser reports of unreadable bytes.
-
-        Its message quotes all of them, four times as long. Its traceback refers to itself, by the
-        frame that holds the bytes, so that only a rare full garbage collection would free them.
-        """
-        for number, (message, payload) in enumerate(self._messages):
-            if isinstance(message, _ErrInfo):
-                reason = message.message[:MAX_REASON_LENGTH]
-                message.exc.__traceback__ = None
-                short = _ErrInfo(message.status, BadHttpMessage(reason), reason)
-                self._messages[number] = (short, payload)
-
-    def _discard(self, data: bytes) -> None:
-        self.received_bytes += len(data)
-        if self.received_bytes > MAX_DISCARDED_BYTES and self.transport is not None:
-            self.transport.pause_reading()  # discarding must not use up a core
-
-    def _make_error_handler(self, err_info: Any) -> Any:
-        # The library would log a traceback for each unreadable message, and not count it.
-        return partial(self.connections.serve_unreadable, err_info.message)
-
-    def has_unread_data(self) -> bool:
-        """Whether the socket holds unread data or an unread end of file (FIN)."""
-        return self.transport is not None and http1_client.has_unread_data(self.transport)
-
-    def retire(self) -> None:
-        """Close the connection gracefully."""
-        self.connections.retire(self)
-
-    def is_client_waiting(self) -> bool:
-        """Whether the client has not closed its sending side; finds a close after unread data."""
-        return self.transport is not None and not http1_client.is_closed_by_peer(self.transport)
-
-
 class Connections(web.Server):
     """All client connections, within limits.
 
@@ -129,6 +54,8 @@
         soft_limit: int,
         hard_limit: int,
         request_factory: Any,
+        ledger: MemoryLedger,
+        log: Log,
         **options: Any,
     ) -> None:
         """``options``: those that aiohttp takes for each connection."""
@@ -136,11 +63,14 @@
         self.loop = asyncio.get_running_loop()
         self.options = options
         self.counters = counters
+        self.ledger = ledger
+        self.log = log
         self.serve_unreadable = serve_unreadable
         self.soft_limit = soft_limit
         self.hard_limit = hard_limit
         self.idle: dict[Any, float] = {}  # with the time when it became idle; longest idle first
-        self.busy: set[Any] = set()  # with a request in flight
+        self.busy: set[Any] = set()  # with a request in flight or a body to receive
+        self.receiving: dict[Any, float] = {}  # the latter, with the time of their head
         self.arriving: set[asyncio.Task[Any]] = set()  # create the transport of a connection
         self.ending: dict[Any, float] = {}  # closing, with the deadline; oldest first
         # If HTTP/2 is enabled: takes the factory of HTTP/1.1 connections and returns a connection
@@ -241,15 +171,19 @@
                 self.counters.add("connections idle too long")
         for handler in [handler for handler, deadline in self.ending.items() if deadline < now]:
             self.abort(handler)
+        self._watch_memory()
 
     def reject(self, handler: Any, status: str) -> None:
         """Answer an incomplete message with ``status`` and close its connection."""
         self.counters.add("not taken")
+        self.counters.add(f"incomplete heads refused {status[:3]}")
         if handler.transport is not None:
             handler.transport.write(
                 f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
             )
         self.retire(handler)
+        handler.drop_parser()
+        self.ledger.hold(handler, CONNECTION_BYTES, is_unfinished=False)
 
     def retire(self, handler: Any) -> None:
         """Close a connection gracefully. All connections that this side closes end here.
@@ -258,11 +192,11 @@
         has closed its side, or after LINGER_S. Closing the socket at once would answer data that
         arrives in that moment with a reset, and the client could lose a response just written.
         """
-        self.idle.pop(handler, None)
-        self.busy.discard(handler)
+        self._forget(handler)
         if handler.transport is None or handler in self.ending:
             return
         handler.ending = True
+        self.ledger.unfinished.pop(handler, None)
         handler.received_bytes = 0
         unsent = handler.transport.get_write_buffer_size()
         self.ending[handler] = self.loop.time() + (MESSAGE_TIMEOUT_S if unsent else LINGER_S)
@@ -282,8 +216,14 @@
     def abort(self, handler: Any) -> None:
         """Close a retired connection immediately."""
         if self.ending.pop(handler, None) is not None and handler.transport is not None:
+            self.ledger.release(handler)
             handler.transport.abort()
 
+    def _forget(self, handler: Any) -> None:
+        self.idle.pop(handler, None)
+        self.busy.discard(handler)
+        self.receiving.pop(handler, None)
+
     def go_away(self) -> None:
         """Announce on multiplexed connections that no new request is accepted there."""
         for handler in list(self.connections):
@@ -301,11 +241,12 @@
     def _make_room(self) -> bool:
         """Make room for one more connection if needed; return whether there is room.
 
-        Idle connections that never had a response are closed first.
+        Idle connections that never had a response are closed first, then one whose message is
+        incomplete: clients that stop half way must not keep others out.
         """
         if self._is_full:
             unused = [handler for handler in self.idle if not handler.answered]
-            if not self.close_idle_connections(1, unused):
+            if not self.close_idle_connections(1, unused) and not self._shed_oldest():
                 self.close_idle_connections(1)
         while self.count >= self.hard_limit and self.ending:
             self.abort(next(iter(self.ending)))
@@ -339,18 +280,70 @@
             handler.retire()
         return True
 
+    def _shed_oldest(self) -> bool:
+        """Refuse the message that has been incomplete for longest; return whether there was one."""
+        oldest = next(iter(self.receiving), None)
+        if oldest is None or self.loop.time() - self.receiving[oldest] <= MIN_IDLE_S:
+            return False
+        self._shed(oldest)
+        return True
+
+    def _shed(self, holder: Any) -> None:
+        self.counters.add("messages shed")
+        holder.shed()
+        self.ledger.hold(holder, holder.held_bytes(), is_unfinished=False)
+
+    # Memory.
+
+    def message_grew(self, holder: Any) -> None:
+        """Count what a connection or stream holds, and shed messages if it is too much."""
+        self.ledger.hold(holder, holder.held_bytes(), holder.is_unfinished)
+        if self.ledger.is_exceeded:
+            self._relieve_memory()
+
+    def _relieve_memory(self) -> None:
+        """Shed the largest unfinished messages; then end connections that are closing anyway."""
+        for holder in self.ledger.largest_unfinished():
+            self._shed(holder)
+        for handler in list(self.ending):
+            if not self.ledger.is_exceeded:
+                break
+            if handler.transport is None or not handler.transport.get_write_buffer_size():
+                self.abort(handler)
+
+    def _watch_memory(self) -> None:
+        """Adapt the limit to the process's memory, and log when messages hold much of it."""
+        resident = resident_bytes()
+        self.ledger.measure_process(resident)
+        if self.ledger.crosses_threshold():
+            self.log.info("client_memory", **self.memory_fields(resident))
+
+    def memory_fields(self, resident: int) -> dict[str, Any]:
+        """Return what messages hold and the process uses, in MB, as fields of a log line."""
+        ledger = self.ledger
+        return {
+            "state": "high" if ledger.is_high else "normal",
+            "held_mb": round(ledger.total / BYTES_PER_MB, 1),
+            "peak_mb": round(ledger.peak / BYTES_PER_MB, 1),
+            "limit_mb": round(ledger.limit / BYTES_PER_MB, 1),
+            "resident_mb": round(resident / BYTES_PER_MB, 1),
+            "unfinished": len(ledger.unfinished),
+            "connections": self.count,
+        }
+
     # Events of connections.
 
     def connection_made(self, handler: Any, transport: asyncio.Transport) -> None:
         """Count a new connection as idle."""
         super().connection_made(handler, transport)
         self.idle[handler] = self.loop.time()
+        self.message_grew(handler)
 
     def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
         """Remove a connection."""
-        self.idle.pop(handler, None)
-        self.busy.discard(handler)
+        self._forget(handler)
         self.ending.pop(handler, None)
+        self.ledger.release(handler)
         super().connection_lost(handler, exc)
 
     def data_arrived(self, handler: Any) -> None:
@@ -362,23 +355,28 @@
             if handler.answered:
                 handler.expires_at = now + MESSAGE_TIMEOUT_S
 
-    def request_begun(self, handler: Any) -> None:
+    def request_begun(self, handler: Any, is_complete: bool = True) -> None:
         """Record that a request has begun: the connection is busy."""
         self.idle.pop(handler, None)
         self.busy.add(handler)
+        if not is_complete:
+            self.receiving[handler] = self.loop.time()
+
+    def message_received(self, handler: Any) -> None:
+        """Record that a message was received as a whole: it is not shed any more."""
+        if self.receiving.pop(handler, None) is not None:
+            self.message_grew(handler)
 
     def request_done(self, handler: Any) -> None:
         """Record that the response was written: the connection is idle."""
         if handler not in self.busy:
             return  # lost or retired in the meantime
-        self.busy.discard(handler)
+        self._forget(handler)
         now = self.loop.time()
         self.idle[handler] = now
-        handler.is_message_begun = False
-        handler.answered = True
-        handler.received_bytes = 0
         handler.expires_at = now + IDLE_TIMEOUT_S
-        handler.requests_before = handler._request_count  # the library has no public counter
+        handler.message_done()
+        self.message_grew(handler)
 
     @property
     def count(self) -> int:
@@ -391,10 +389,12 @@
 
     @property
     def is_full_without_unused(self) -> bool:
-        """Whether the soft limit is reached, and every idle connection has had a response."""
-        return self._is_full and all(handler.answered for handler in self.idle)
+        """Whether the soft limit is reached, and nobody but idle, answered ones can make room."""
+        return (
+            self._is_full and not self.receiving and all(handler.answered for handler in self.idle)
+        )
 
     @property
     def has_too_many_busy(self) -> bool:
-        """Whether so many connections are busy that new requests must be refused."""
-        return len(self.busy) > MAX_BUSY_FRACTION * self.soft_limit
+        """Whether so many requests are in flight that new ones must be refused."""
+        return len(self.busy) - len(self.receiving) > MAX_BUSY_FRACTION * self.soft_limit
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from pepperhook.server.config import Address
     from pepperhook.server.ingress import Ingress
+    from pepperhook.server.memory_ledger import MemoryLedger
     from pepperhook.server.messages import RequestMessage
     from pepperhook.server.metrics import Counters
     from pepperhook.server.runtime import Runtime
@@ -26,8 +27,8 @@
 FINAL_CLOSE_S = 0.1  # for connections that are still open after a graceful shutdown
 CLOSE_CHECK_INTERVAL_S = 0.01
 # Parsed bytes of a body that wait to be read. The library also derives from it how many chunks may
-# wait, here 256: a chunk of two bytes takes 40 times its size.
-READ_BUFFER_BYTES = 4096
+# wait, here 64: a chunk of two bytes takes 40 times its size.
+READ_BUFFER_BYTES = 1024
 RESPONSE_WRITE_TIMEOUT_S = 5  # for a client to read its response
 
 
@@ -50,6 +51,7 @@
         ingress: Ingress,
         listen: Address,
         limits: ConnectionLimits,
+        ledger: MemoryLedger,
     ) -> None:
         """Prepare to listen on ``listen``; ``open`` starts to."""
         self.runtime = runtime
@@ -66,6 +68,8 @@
             limits.soft,
             limits.hard,
             self._make_request,
+            ledger,
+            ingress.log,
             access_log=None,
             keepalive_timeout=NO_TIMEOUT_S,
             lingering_time=0,
@@ -114,7 +118,7 @@
         self, request: Any, refusal: RequestRefusedError | None = None
     ) -> web.StreamResponse:
         connection = request.protocol
-        self.server.request_begun(connection)
+        self.server.request_begun(connection, is_complete=request.content.is_eof())
         try:
             response = self._refuse(refusal) if refusal else await self._handle(request)
             if self.is_shutting_down or self.server.is_full_without_unused:
@@ -175,6 +179,9 @@
                 HTTPStatus.BAD_REQUEST, "Transfer-Encoding: only chunked is known here"
             )
         message = await self._read_message(request)
+        self.server.message_received(request.protocol)
+        if self.server.ledger.is_exceeded:
+            raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too little memory")
         waited_s = request.protocol.waited_s
         request.protocol.waited_s = 0
         accepted = self.ingress.request(headers, service_class, waited_s)
@@ -215,7 +222,7 @@
                 await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 request.writer.output_size = 0
             async with asyncio.timeout_at(request.protocol.expires_at):
-                body: bytes = await request.read()
+                body = await self._read_parts(request)
         except web.HTTPRequestEntityTooLarge as error:
             raise RequestRefusedError(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -226,9 +233,21 @@
                 HTTPStatus.REQUEST_TIMEOUT, "the rest of the message did not come"
             ) from error
         except (web.RequestPayloadError, HttpProcessingError) as error:
+            # The library keeps this error, and its traceback would keep the body.
+            error.__traceback__ = None
             raise RequestRefusedError(HTTPStatus.BAD_REQUEST, "the body can't be read") from error
         return body
 
+    async def _read_parts(self, request: Any) -> bytes:
+        body = bytearray()
+        while part := await request.content.readany():
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
+        if request.protocol.is_shed:
+            raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too many requests at once")
+        return bytes(body)
+
     async def close(self, accept_s: float, within_s: float) -> None:
         """Accept for another ``accept_s``, answer accepted requests, then close all connections.
 
--- /dev/null
+++ b/tests/server/test_shed_messages.py
@@ -0,0 +1,140 @@
+"""Unfinished messages give way to others; taken requests do not."""
+
+import asyncio
+import gc
+
+import pytest
+
+from pepperhook.server.client_connections import MIN_IDLE_S
+from tests.server.balancers import RunningBalancer, wait_until
+from tests.server.peers import ScriptedPeer, always, make_response
+
+
+async def send_half_a_body(balancer, size=1000):
+    """Send a request without the end of its body; return reader and writer."""
+    message = balancer.make_request("/pay", b"POST", b"x" * size)
+    reader, writer = await balancer.connect()
+    writer.write(message[: -size // 2])
+    return reader, writer
+
+
+async def test_oldest_unfinished_body_makes_room_for_a_new_connection():
+    # Clients that stopped half way through a body kept all connections, and others got 503.
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        connections = balancer.connections
+        connections.soft_limit, connections.hard_limit = 2, 3
+        first, first_writer = await send_half_a_body(balancer)
+        await wait_until(lambda: len(connections.receiving) == 1)
+        second, second_writer = await send_half_a_body(balancer)
+        await wait_until(lambda: len(connections.receiving) == 2)
+        await asyncio.sleep(MIN_IDLE_S)
+
+        assert await balancer.status() == 200
+
+        assert (await balancer.read_response(first))[0] == 503
+        first_writer.close()
+        second_writer.close()
+
+
+async def test_unfinished_bodies_do_not_count_as_requests_in_flight():
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        connections = balancer.connections
+        connections.soft_limit = 4
+        writers = [(await send_half_a_body(balancer))[1] for _ in range(4)]
+        await wait_until(lambda: len(connections.receiving) == 4)
+
+        assert not connections.has_too_many_busy
+        for writer in writers:
+            writer.close()
+
+
+async def test_largest_unfinished_message_is_shed_when_memory_is_used_up():
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        ledger = balancer.app.ledger
+        small, small_writer = await send_half_a_body(balancer)
+        large, large_writer = await send_half_a_body(balancer, 60_000)
+        await wait_until(lambda: ledger.total > 60_000)
+        ledger.limit = 50_000
+
+        assert await balancer.status() == 200
+
+        assert (await balancer.read_response(large))[0] == 503
+        small_writer.write(b"x" * 500)
+        assert (await balancer.read_response(small))[0] == 200
+        small_writer.close()
+        large_writer.close()
+
+
+async def test_taken_request_keeps_its_answer_when_memory_is_used_up(release):
+    async with (
+        ScriptedPeer(release.then(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        reader, writer = await balancer.send_request("/pay", b"POST", b"x" * 60_000)
+        await wait_until(lambda: peer.requests)
+        balancer.app.ledger.limit = 10_000
+
+        assert await balancer.status() == 503
+        release.set()
+
+        assert (await balancer.read_response(reader))[0] == 200
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "beginning",
+    [b"", b"GET /look HTTP/1.1\r\nA: b", b"\x00\xff" * 5000],
+    ids=["empty", "head", "no HTTP"],
+)
+async def test_ledger_is_empty_once_all_connections_are_closed(beginning):
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        assert await balancer.status() == 200
+        _, writer = await balancer.connect()
+        writer.write(beginning)
+        _, half_writer = await send_half_a_body(balancer)
+        await wait_until(lambda: len(balancer.app.ledger.held) >= 2)
+        writer.close()
+        half_writer.close()
+
+        await wait_until(lambda: not balancer.connections.count)
+        assert balancer.app.ledger.total == 0
+        assert not balancer.app.ledger.unfinished
+
+
+async def test_closed_connections_leave_no_garbage_with_what_they_received():
+    # A parser's error and a body refer to their connection; only a full collection freed them.
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        await balancer.status()
+        gc.collect()
+        gc.disable()
+        try:
+            for beginning in (
+                b"\x00\xff" * 5000,
+                balancer.make_request("/pay", b"POST", b"12")[:-1],
+            ):
+                _, writer = await balancer.connect()
+                writer.write(beginning)
+                await asyncio.sleep(0.01)
+                writer.close()
+            await wait_until(lambda: not balancer.connections.count)
+            connection_class = "Connection"
+            left = [each for each in gc.get_objects() if type(each).__name__ == connection_class]
+        finally:
+            gc.enable()
+
+        assert not left
