Read bodies in turns, and bound the wait that a full backlog is charged with

Callers waited for 3 s or got 503 beside 800 clients that send bodies in chunks of two bytes, although memory was in bounds.

A body's reader went on without a pause while data was there: 64 KB in such chunks are 32,000 calls. And a connection was charged with the whole time since the backlog was last empty, which beside a crowd is since the crowd came: after 2 s every request was rejected as too late (counter too_late 8 of 8 of the 503s).

And a connection is charged with no more than the time since the one was accepted that was a whole backlog ahead of it.

--- a/pepperhook/server/client_connection.py
+++ b/pepperhook/server/client_connection.py
@@ -133,6 +133,7 @@
             self.is_shed = True
             self.connections.receiving.pop(self, None)
             self.content.feed_eof()  # wakes the server, which refuses the request
+            self.connections.turns.end_wait(self)
 
     def message_done(self) -> None:
         """Forget the message that was answered."""
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from errno import EMFILE
@@ -19,6 +20,7 @@
     MemoryLedger,
     resident_bytes,
 )
+from pepperhook.server.parsing_turns import ParsingTurns
 
 if TYPE_CHECKING:
     from pepperhook.server.config import Address
@@ -65,6 +67,7 @@
         self.counters = counters
         self.ledger = ledger
         self.log = log
+        self.turns = ParsingTurns(self.loop)
         self.serve_unreadable = serve_unreadable
         self.soft_limit = soft_limit
         self.hard_limit = hard_limit
@@ -83,6 +86,7 @@
         self.listener: socket.socket | None = None
         self._resume_timer: asyncio.TimerHandle | None = None
         self._full_since: float | None = None
+        self._accepted_at: deque[float] = deque(maxlen=BACKLOG + 1)  # the kernel queues one more
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     # Accepting.
@@ -114,9 +118,22 @@
                 # would waste the core.
                 self._pause_accepting(self.listener, now)
                 return False
-            self._connect(accepted, 0 if self._full_since is None else now - self._full_since)
+            self._connect(accepted, self._waited_s(now))
+            self._accepted_at.append(now)
         return False
 
+    def _waited_s(self, now: float) -> float:
+        """Return how long a connection that is accepted now may have waited in the backlog.
+
+        Since the backlog was last empty, or since the connection was accepted that was a whole
+        backlog ahead: a crowd may keep the backlog from ever being empty.
+        """
+        if self._full_since is None:
+            return 0
+        if len(self._accepted_at) <= BACKLOG:
+            return now - self._full_since
+        return now - max(self._full_since, self._accepted_at[0])
+
     def _pause_accepting(self, listener: socket.socket, now: float) -> None:
         if self._full_since is None:
             self._full_since = now
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -240,10 +240,13 @@
 
     async def _read_parts(self, request: Any) -> bytes:
         body = bytearray()
+        reads = 0
         while part := await request.content.readany():
             body += part
             if len(body) > MAX_BODY_BYTES:
                 raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
+            reads += 1
+            await self.server.turns.wait(request.protocol, reads)
         if request.protocol.is_shed:
             raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too many requests at once")
         return bytes(body)
--- /dev/null
+++ b/tests/server/test_parsing_turns.py
@@ -0,0 +1,64 @@
+"""Messages that take long to parse take turns."""
+
+import asyncio
+
+from pepperhook.server.parsing_turns import FREE_READS, TURNS_PER_ITERATION, ParsingTurns
+
+
+async def test_first_reads_of_a_message_do_not_wait():
+    turns = ParsingTurns(asyncio.get_running_loop())
+
+    for reads in range(FREE_READS):
+        await turns.wait("message", reads)
+
+    assert not turns.waiting
+
+
+async def test_messages_take_turns_in_the_order_in_which_they_came():
+    turns = ParsingTurns(asyncio.get_running_loop())
+    order = []
+
+    async def read(name, count):
+        for _ in range(count):
+            await turns.wait(name, FREE_READS)
+            order.append(name)
+
+    await asyncio.gather(*(read(name, 2) for name in "abc"))
+
+    assert order == list("abcabc")
+
+
+async def test_other_work_of_the_event_loop_is_done_between_turns():
+    turns = ParsingTurns(asyncio.get_running_loop())
+    waiting = [asyncio.create_task(turns.wait(number, FREE_READS)) for number in range(100)]
+    await asyncio.sleep(0)
+
+    iterations = 0
+    while not all(task.done() for task in waiting):
+        await asyncio.sleep(0)
+        iterations += 1
+
+    assert iterations >= 100 / TURNS_PER_ITERATION
+
+
+async def test_message_that_is_shed_waits_no_longer():
+    turns = ParsingTurns(asyncio.get_running_loop())
+    waiting = [asyncio.create_task(turns.wait(number, FREE_READS)) for number in range(100)]
+    await asyncio.sleep(0)
+
+    turns.end_wait(99)
+    await asyncio.sleep(0)
+
+    assert waiting[99].done() and not waiting[98].done()
+    await asyncio.gather(*waiting)
+
+
+async def test_cancelled_wait_leaves_nothing_behind():
+    turns = ParsingTurns(asyncio.get_running_loop())
+    waiting = asyncio.create_task(turns.wait("message", FREE_READS))
+    await asyncio.sleep(0)
+
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+
+    assert not turns.waiting
