Remember the ids of requests that may have run, and never run one again

Cause: an id was forgotten after the longest time limit, whatever its request had done.

Ids of safe and of rejected requests expire as before. Not across a restart.

Refusals are counted by status. The registry and the refusal have modules of their own.

--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -14,8 +14,9 @@
 from pepperhook.http2.protocol import OutgoingStream
 from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S
 from pepperhook.server.http1_client import MAX_BODY_BYTES
-from pepperhook.server.ingress import PLAIN_TEXT, RequestRefusedError
+from pepperhook.server.ingress import PLAIN_TEXT
 from pepperhook.server.memory_ledger import message_bytes
+from pepperhook.server.refusal import RequestRefusedError
 
 if TYPE_CHECKING:
     from h2.events import DataReceived, RequestReceived
--- a/pepperhook/idempotency/replies.py
+++ b/pepperhook/idempotency/replies.py
@@ -1,8 +1,8 @@
 """Responses to requests that are not run themselves, as the balancer's types."""
 
 from pepperhook.idempotency.entries import Decision, StoredResponse, Verdict
-from pepperhook.server.ingress import RequestRefusedError
 from pepperhook.server.messages import FinalResponse, ResponseKind
+from pepperhook.server.refusal import RequestRefusedError
 
 KEY_HEADER = "Idempotency-Key"
 
--- a/pepperhook/server/extensions.py
+++ b/pepperhook/server/extensions.py
@@ -16,8 +16,8 @@
     from pepperhook.domain import Attempt, EndpointUpdate, Outcome, Request, Upstream
     from pepperhook.operator_config.schema import Http2Table
     from pepperhook.server.app import BalancerApp
-    from pepperhook.server.ingress import RequestRefusedError
     from pepperhook.server.messages import FinalResponse, Header, RequestMessage, UpstreamResponse
+    from pepperhook.server.refusal import RequestRefusedError
 
 
 EarlyResult: TypeAlias = "FinalResponse | RequestRefusedError | None"
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -13,7 +13,8 @@
 
 from pepperhook.server.client_connections import Connections
 from pepperhook.server.http1_client import MAX_BODY_BYTES
-from pepperhook.server.ingress import PLAIN_TEXT, RequestRefusedError
+from pepperhook.server.ingress import PLAIN_TEXT
+from pepperhook.server.refusal import RequestRefusedError
 
 if TYPE_CHECKING:
     from pepperhook.server.config import Address
--- a/pepperhook/server/ingress.py
+++ b/pepperhook/server/ingress.py
@@ -7,20 +7,18 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
 
 from pepperhook.domain import Effect, Request, ServiceClass
-from pepperhook.errors import PepperhookError
 from pepperhook.server import extensions as extension_points
 from pepperhook.server.messages import FinalResponse, Header, RequestMessage, ResponseKind
+from pepperhook.server.refusal import RequestRefusedError
+from pepperhook.server.request_ids import RequestIdRegistry
 
 if TYPE_CHECKING:
-    import asyncio
-
     from pepperhook.server.config import Config
     from pepperhook.server.endpoint_discovery import EndpointDiscovery
     from pepperhook.server.metrics import Counters
@@ -56,42 +54,6 @@
 FAILED_BODY = b"broken off\n"  # may have been executed
 
 
-class RequestRefusedError(PepperhookError):
-    """A message was not accepted as a request; has the status, text and headers of the response."""
-
-    def __init__(self, status: int, text: str, **headers: str) -> None:
-        """Describe the response to the client."""
-        super().__init__(text)
-        self.status = int(status)
-        self.headers = headers
-
-
-class RequestIdRegistry:
-    """The request ids in flight, and recent ones: a late duplicate must not be executed again."""
-
-    def __init__(self, keep_s: float, loop: asyncio.AbstractEventLoop) -> None:
-        """``keep_s``: how long an id is kept after the end of its request."""
-        self.keep_s = keep_s
-        self.loop = loop
-        self.known: set[object] = set()
-        self.ended: deque[tuple[float, object]] = deque()  # with its expiry time
-
-    def begin(self, request_id: object) -> None:
-        """Register an id. Raises RequestRefusedError if it is in use or was used recently."""
-        now = self.loop.time()
-        while self.ended and self.ended[0][0] < now:
-            self.known.discard(self.ended.popleft()[1])
-        if request_id in self.known:
-            raise RequestRefusedError(
-                HTTPStatus.CONFLICT, "an operation of this id was taken before"
-            )
-        self.known.add(request_id)
-
-    def end(self, request_id: object) -> None:
-        """Let an id expire after ``keep_s``."""
-        self.ended.append((self.loop.time() + self.keep_s, request_id))
-
-
 class Ingress:
     """Accepts requests of all protocols; one instance, since ids are unique across protocols."""
 
@@ -119,7 +81,7 @@
             0.0  # of all settings since the start, as older requests may be in flight
         )
         self.closes_at_ns: int | None = None  # when a shutdown closes the connections
-        self.ids = RequestIdRegistry(0.0, runtime.loop)
+        self.ids = RequestIdRegistry(0.0, runtime.loop, counters, log)
         self._unlogged_refusals = 0
         self._log_refusals_at = 0.0
         self.update_settings()
@@ -253,14 +215,19 @@
             return FinalResponse(ResponseKind.REJECTED)
         self.ids.begin(request.id)
         self.counters.add("taken")
+        # Also if its client leaves: what was sent to an upstream by then may run.
+        may_have_run = request.service_class.effect is not Effect.SAFE
         try:
-            return await self.requests.begin(request, message)
+            response = await self.requests.begin(request, message)
+            may_have_run = may_have_run and response.kind is not ResponseKind.REJECTED
+            return response
         finally:
-            self.ids.end(request.id)
+            self.ids.end(request.id, may_have_run)
 
     def count_refusal(self, error: RequestRefusedError) -> None:
         """Count and log a request that was not accepted."""
         self.counters.add("not taken")
+        self.counters.add(f"not taken {error.status}")
         self._unlogged_refusals += 1
         now_s = self.runtime.loop.time()
         if now_s >= self._log_refusals_at:
--- a/tests/idempotency/test_peer_replies.py
+++ b/tests/idempotency/test_peer_replies.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pepperhook.idempotency.peer_protocol import decode_reply
-from pepperhook.server.ingress import RequestRefusedError
+from pepperhook.server.refusal import RequestRefusedError
 
 MAX_RETRY_AFTER_NS = 900 * 10**6
 
