Take the process that started last for the one at an address

Cause: upstreams are told apart by name alone, so that two names at one address were two upstreams, and connections of the former one reached the new process.

Now the newest start time at an address claims it; other upstreams there count as gone, with their connections, warmth, health and attempts, whatever later rows say, until they start again or the newcomer leaves. Logged (address_taken_over) and counted. Rows with the same start time are both used, as before. And the last check before the first byte refuses an endpoint that was removed or replaced while the attempt was connecting.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -12,6 +12,7 @@
 from pepperhook.errors import PepperhookError
 from pepperhook.server import endpoint_list, http1_client
 from pepperhook.server import extensions as extension_points
+from pepperhook.server.address_claims import AddressClaims
 from pepperhook.server.attempt_errors import ConnectFailedError, ConnectionLostError
 from pepperhook.server.endpoint_list import (
     EndpointList,
@@ -78,6 +79,7 @@
         self.zones = config.names.zones
         self.kinds = config.names.kinds
         self.known: dict[str, Upstream] = {}
+        self.claims = AddressClaims()
         self.unreadable: dict[str, str] = {}  # name of each upstream with an unreadable row: reason
         self.version: int | None = None
         self.tasks: dict[PollKind, asyncio.Task[None]] = {}
@@ -293,12 +295,33 @@
 
     def _rows(self, update: EndpointList) -> list[EndpointUpdate]:
         """Return the updates for the policy, after the extensions have adjusted them."""
-        rows = [self._update_upstream(listed) for listed in update.endpoints]
+        superseded = self._claim_addresses(update)
+        current = [listed for listed in update.endpoints if listed.name not in superseded]
+        rows = [self._update_upstream(listed) for listed in current]
         rows += [self._mark_not_ready(row) for row in update.unreadable if row.name in self.known]
+        rows += [self._mark_gone(name) for name in superseded if name in self.known]
         for hook in self.extensions.lists:
             rows = hook(rows)
         return rows
 
+    def _claim_addresses(self, update: EndpointList) -> list[str]:
+        """Return the upstreams whose address a process has that started later."""
+        if update.is_whole:
+            unreadable = {row.name for row in update.unreadable}
+            self.claims.keep_only(unreadable | {listed.name for listed in update.endpoints})
+        self.claims.update(update.endpoints)
+        return self.claims.superseded_by(update.endpoints)
+
+    def _mark_gone(self, name: str) -> EndpointUpdate:
+        """Treat an upstream as gone whose address another process has.
+
+        Its connections, warmth and health are those of a process that has ended.
+        """
+        upstream = self.known[name]
+        self.counters.add("addresses taken over")
+        self.log.info("address_taken_over", host=name, by=self.claims.newer_at_address_of(name))
+        return EndpointUpdate(upstream, UpstreamState.GONE, upstream.started_at)
+
     def _mark_not_ready(self, row: UnreadableRow) -> EndpointUpdate:
         """Treat an upstream with an unreadable row as draining, or as gone if the row says so.
 
--- a/pepperhook/server/upstream_pool.py
+++ b/pepperhook/server/upstream_pool.py
@@ -202,11 +202,17 @@
         if task is not None and not (if_unwritten and attempt in self.written):
             task.cancel()
 
-    def _may_write(self, attempt: Attempt, message: RequestMessage) -> bool:
+    def _may_write(
+        self, endpoint: UpstreamEndpoint, attempt: Attempt, message: RequestMessage
+    ) -> bool:
         """Make the last check before the first byte: of the client's connection, then the policy's.
 
         On a busy core the client's close may still be unread; its request must not be forwarded.
+        While an attempt connects, another process may have come to the upstream's address.
         """
+        if endpoint.is_removed:
+            self.counters.add("endpoints gone before the first byte")
+            return False
         if (
             message.is_client_waiting is not None
             and not self.extensions.leaving
@@ -284,7 +290,7 @@
             headers,
             message.body,
             timeout_s,
-            partial(self._may_write, attempt, message),
+            partial(self._may_write, endpoint, attempt, message),
         )
         read_headers = {
             name: response_headers.getall(name, []) for name in self.extensions.reads_back
