Bound what an HTTP/2 connection holds before a header block is complete

Causes, all of the report's class: the library limits a header block to 64 frames, 1 MB a connection; HTTP/2 connections still read 256 KB at once; and a closed connection stayed until a full garbage collection, as the library's table of its own methods is a cycle.

Now a header block ends its connection at 48 KB (ENHANCE_YOUR_CALM), reads are bounded as for HTTP/1.1, a closed connection is freed at once, and what is not parsed yet is in the ledger, so that such connections are shed first.

A new test for attempts that connect while another process takes the address: 0 requests by the old attempt.

--- a/pepperhook/http2/client_connection.py
+++ b/pepperhook/http2/client_connection.py
@@ -85,6 +85,7 @@
             self._liveness_timer.cancel()
             self._liveness_timer = None
         self.abort(ConnectionLostError(f"connection lost: {exc or 'closed by the upstream'}"))
+        self.h2.release()
 
     @property
     def available_streams(self) -> int:
--- a/pepperhook/http2/connection.py
+++ b/pepperhook/http2/connection.py
@@ -1,4 +1,4 @@
-"""The h2 library's connection, with five corrections to follow RFC 9113 and one addition.
+"""The h2 library's connection, with five corrections to follow RFC 9113 and two additions.
 
 * A GOAWAY does not end the streams that its sender still answers (6.8).
 * An oversized frame is rejected as soon as its length field is received (4.2).
@@ -6,6 +6,7 @@
 * A wrong content-length is a stream error; it does not affect other streams (8.1.1).
 * Malformed request or response headers, or malformed trailers, are a stream error as well (8.1.1).
 * RST_STREAM on a closed stream is reported as an event, so that a flood of them can be limited.
+* A header block over many frames is limited in bytes while it is received.
 """
 
 from collections.abc import Iterable
@@ -23,6 +24,7 @@
 from pepperhook.errors import PepperhookError
 
 LENGTH_FIELD_BYTES = 3  # at the start of each frame header
+MAX_HEADER_BLOCK_BYTES = 48 * 1024  # a header list of 32 KB, and one frame more
 
 
 class HeaderBlockError(PepperhookError, h2.exceptions.ProtocolError):
@@ -31,6 +33,12 @@
     error_code = h2.errors.ErrorCodes.COMPRESSION_ERROR
 
 
+class HeaderBlockTooLargeError(PepperhookError, h2.exceptions.ProtocolError):
+    """A header block that is larger than any that would be accepted."""
+
+    error_code = h2.errors.ErrorCodes.ENHANCE_YOUR_CALM
+
+
 class HeaderDecoder(hpack.Decoder):
     """Raises HeaderBlockError for an invalid block; the library would send PROTOCOL_ERROR."""
 
@@ -94,8 +102,33 @@
         ):
             self._terminate_connection(h2.errors.ErrorCodes.FRAME_SIZE_ERROR)
             raise h2.exceptions.FrameTooLargeError("frame exceeds the announced maximum frame size")
+        self._check_header_block()
         return events
 
+    @property
+    def header_block_bytes(self) -> int:
+        """The bytes received of a header block that is not complete; 0 if there is none."""
+        return sum(len(frame.data) for frame in self.incoming_buffer._headers_buffer)
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """The bytes received of an incomplete frame or header block."""
+        return len(self.incoming_buffer._data) + self.header_block_bytes
+
+    def release(self) -> None:
+        """Free a closed connection at once; it processes no more frames.
+
+        The library's table of its own methods is a reference cycle, which only a rare full garbage
+        collection would free, with all that was received.
+        """
+        self._frame_dispatch_table.clear()
+
+    def _check_header_block(self) -> None:
+        # The library limits the frames of a header block to 64, which is 1 MB a connection.
+        if self.header_block_bytes > MAX_HEADER_BLOCK_BYTES:
+            self._terminate_connection(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
+            raise HeaderBlockTooLargeError(f"header block over {MAX_HEADER_BLOCK_BYTES} bytes")
+
     def send_body_part(self, stream_id: int, remaining: memoryview) -> int:
         """Send as much of a body's remaining bytes as one frame and the windows permit.
 
--- a/pepperhook/http2/managed_connection.py
+++ b/pepperhook/http2/managed_connection.py
@@ -4,11 +4,12 @@
 
 import asyncio
 
+from pepperhook.server.bounded_reads import BoundedReads
 from pepperhook.server.http1_client import has_unread_data
 from pepperhook.server.memory_ledger import CONNECTION_BYTES
 
 
-class ManagedConnection(asyncio.Protocol):
+class ManagedConnection(BoundedReads):
     """The attributes that Connections and aiohttp read on every client connection."""
 
     # Private attributes of aiohttp's HTTP/1.1 connections.
--- a/pepperhook/http2/protocol.py
+++ b/pepperhook/http2/protocol.py
@@ -13,6 +13,7 @@
 
 from pepperhook.http2.abuse_limits import AbuseBudget
 from pepperhook.http2.connection import Http2Connection
+from pepperhook.server.bounded_reads import BoundedReads
 
 if TYPE_CHECKING:
     from h2.errors import ErrorCodes
@@ -38,7 +39,7 @@
             self.window_opened.set_result(None)
 
 
-class Http2Protocol(asyncio.Protocol):
+class Http2Protocol(BoundedReads):
     """Base of client and server connections."""
 
     def __init__(
--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -32,6 +32,8 @@
 SWEEP_INTERVAL_S = 0.2  # between checks for requests that were not received in time
 # The last id in a GOAWAY that announces a shutdown but still accepts all streams (RFC 9113, 6.8).
 MAX_STREAM_ID = 2**31 - 1
+CONNECTION_BYTES = 12 * 1024  # of an open connection without streams, beside one over HTTP/1.1
+BUFFER_COPIES = 2  # of what is not parsed yet: as received, and in frames
 GOAWAY_NOTICE_S = 0.1  # between that GOAWAY and the final one, for requests in transit
 
 
@@ -96,6 +98,7 @@
         if self._goaway_timer is not None:
             self._goaway_timer.cancel()
         self._cancel_streams()
+        self.h2.release()
         self.connections.connection_lost(self, exc)
 
     # Receiving.
@@ -123,6 +126,20 @@
                 if self.is_closed:
                     return
         self.flush()
+        self.connections.message_grew(self)
+
+    @property
+    def is_unfinished(self) -> bool:  # type: ignore[override]
+        """Whether it may be shed: a header block is incomplete, and no request is in flight."""
+        return not self.is_closed and not self.streams and self.h2.header_block_bytes > 0
+
+    def held_bytes(self) -> int:
+        """Return what the connection holds in memory, without its streams."""
+        return CONNECTION_BYTES + super().held_bytes() + BUFFER_COPIES * self.h2.unparsed_bytes
+
+    def shed(self) -> None:
+        """Close a connection whose header block is incomplete."""
+        self._close_with_error(ErrorCodes.ENHANCE_YOUR_CALM)
 
     def _on_request(self, event: h2.events.RequestReceived) -> None:
         if self.is_going_away or not self._has_free_stream():
--- a/tests/http2/test_connection.py
+++ b/tests/http2/test_connection.py
@@ -3,16 +3,30 @@
 Its handling of malformed headers is tested in test_malformed_heads.
 """
 
+import gc
+import weakref
+
 import h2.config
 import h2.exceptions
 import pytest
 from h2.errors import ErrorCodes
 from h2.events import ConnectionTerminated, ResponseReceived, StreamEnded
 from h2.settings import SettingCodes
-from hyperframe.frame import DataFrame, GoAwayFrame, HeadersFrame, SettingsFrame
+from hyperframe.frame import (
+    ContinuationFrame,
+    DataFrame,
+    GoAwayFrame,
+    HeadersFrame,
+    SettingsFrame,
+)
 
 from pepperhook.errors import PepperhookError
-from pepperhook.http2.connection import HeaderBlockError, Http2Connection
+from pepperhook.http2.connection import (
+    MAX_HEADER_BLOCK_BYTES,
+    HeaderBlockError,
+    HeaderBlockTooLargeError,
+    Http2Connection,
+)
 from tests.http2.frames import END_HEADERS, END_STREAM, GET_HEADERS, encode_headers
 
 STREAM_ID = 1
@@ -92,3 +106,39 @@
 
     assert connection.send_body_part(STREAM_ID, remaining) == 10
     assert connection.send_body_part(STREAM_ID, remaining[10:]) == 0
+
+
+def test_header_block_that_never_ends_is_limited_in_bytes():
+    # A connection could hold 64 frames of it, 1 MB, that no limit on heads was applied to.
+    connection = make_client()
+    connection.receive_data(HeadersFrame(STREAM_ID, b"x").serialize())
+    frame = ContinuationFrame(STREAM_ID, b"x" * 16_000).serialize()
+
+    for _ in range(MAX_HEADER_BLOCK_BYTES // 16_000):
+        connection.receive_data(frame)
+    with pytest.raises(HeaderBlockTooLargeError):
+        connection.receive_data(frame)
+
+    sent = connection.data_to_send()
+    assert int(ErrorCodes.ENHANCE_YOUR_CALM).to_bytes(4, "big") in sent
+
+
+def test_unparsed_bytes_are_those_of_the_incomplete_frame_and_header_block():
+    connection = make_client()
+    connection.receive_data(HeadersFrame(STREAM_ID, b"x" * 100).serialize())
+    assert connection.header_block_bytes == connection.unparsed_bytes == 100
+
+    connection.receive_data(ContinuationFrame(STREAM_ID, b"x" * 50).serialize()[:-10])
+    assert connection.unparsed_bytes == 100 + 9 + 40
+
+
+def test_released_connection_is_freed_without_a_garbage_collection():
+    connection = make_client()
+    reference = weakref.ref(connection)
+    gc.disable()
+    try:
+        connection.release()
+        del connection
+        assert reference() is None
+    finally:
+        gc.enable()
--- a/tests/server/client_crowd.py
+++ b/tests/server/client_crowd.py
@@ -13,10 +13,23 @@
 import sys
 from pathlib import Path
 
+from hyperframe.frame import ContinuationFrame, HeadersFrame
+
+from tests.http2.frames import (
+    END_HEADERS,
+    POST_HEADERS,
+    PREFACE,
+    SETTINGS,
+    data_frame,
+    headers_frame,
+)
+
 ROOT = Path(__file__).resolve().parents[2]
 CONNECTS_AT_ONCE = 50  # so that a crowd of hundreds does not overflow the backlog by itself
 RECONNECT_DELAY_S = 0.05  # of a crowd; a single client connects again at once
 PIECES_PER_BODY = 32
+HTTP2_STREAMS = 90  # fewer than a balancer allows on a connection
+HTTP2_FRAME_BYTES = 15_000
 SEED = 72
 NUMBERS = itertools.count()
 
@@ -68,6 +81,30 @@
     return [generator.randbytes(4000) for _ in range(100)]
 
 
+def malformed_chunks(_):
+    """Return most of a body, then what is no chunk."""
+    chunk = b"f000\r\n" + b"x" * 0xF000 + b"\r\n"
+    return [make_head(b"Transfer-Encoding: chunked"), chunk, b"no size\r\n" * 100]
+
+
+def http2_half_bodies(_):
+    """Return requests over HTTP/2, each with most of its body."""
+    streams = []
+    for stream_id in range(1, 2 * HTTP2_STREAMS, 2):
+        request_id = ("x-request-id", f"crowd-{next(NUMBERS)}")
+        headers = [*POST_HEADERS[:-1], request_id]
+        streams.append(headers_frame(stream_id, headers, flags=[END_HEADERS]).serialize())
+        streams += [data_frame(stream_id, b"x" * HTTP2_FRAME_BYTES).serialize()] * 4
+    return [PREFACE + SETTINGS.serialize(), *streams]
+
+
+def http2_endless_header_block(_):
+    """Return a header block over many frames that never ends."""
+    head = HeadersFrame(1, b"\0" * HTTP2_FRAME_BYTES).serialize()
+    frames = [ContinuationFrame(1, b"\0" * HTTP2_FRAME_BYTES).serialize()] * 60
+    return [PREFACE + SETTINGS.serialize() + head, *frames]
+
+
 PLAYS = {
     play.__name__: play
     for play in (
@@ -78,6 +115,9 @@
         large_body,
         large_chunks,
         random_bytes,
+        malformed_chunks,
+        http2_half_bodies,
+        http2_endless_header_block,
     )
 }
 
--- a/tests/server/test_connecting_attempts.py
+++ b/tests/server/test_connecting_attempts.py
@@ -55,6 +55,25 @@
     await wait_until(lambda: not balancer.app.requests.tasks)
 
 
+async def test_attempt_that_connects_is_not_written_to_the_process_that_took_its_address():
+    # The guard allows sends for a grace after a change, but not to another process.
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address], env=with_permissions(maxDispatches=1)) as balancer,
+    ):
+        delayed = DelayedConnections(balancer)
+        response = asyncio.ensure_future(balancer.status("/pay", b"POST", b"1"))
+        await delayed.requested.wait()
+
+        [row] = endpoint_rows([peer.address], host="h9", born_ms=5)
+        balancer.app.discovery.apply(endpoint_list(2, [row], whole=False))
+        await release_and_finish(balancer, delayed)
+
+        assert await response == 200  # by an attempt at the process that is there now
+        assert balancer.counters["endpoints gone before the first byte"] == 1
+        assert len(peer.requests) == 1
+
+
 @pytest.mark.parametrize("state", ["draining", "gone"])
 async def test_request_is_served_by_another_upstream_if_the_selected_one_leaves(state):
     # Its request was sent as late as connecting took, although the list had changed since.
--- a/tests/server/test_memory_limit.py
+++ b/tests/server/test_memory_limit.py
@@ -18,6 +18,13 @@
 MIN_SERVED_SHARE = 0.9  # docs/client-limits.md: of good clients beside a crowd
 
 
+def write_operator_file(directory):
+    """Write an operator's file that enables HTTP/2; return its path."""
+    path = directory / "operator.toml"
+    path.write_text('version = 1\n[h2]\nclients = true\nupstreams = "http/1.1"\nstreams = 100\n')
+    return str(path)
+
+
 @contextlib.asynccontextmanager
 async def balancer_with_limit(directory, memory_mb):
     """Run a balancer with a memory limit in its configuration, and two upstreams."""
@@ -27,7 +34,9 @@
     ):
         known = endpoint_list(1, endpoint_rows([first.address, second.address]))
         limits = {"memory_mb": memory_mb, "sockets": SOCKETS}
-        balancer = BalancerProcess(write_config(directory, known=known, limits=limits))
+        environment = write_config(directory, known=known, limits=limits)
+        environment["LB_OPERATOR"] = write_operator_file(directory)
+        balancer = BalancerProcess(environment)
         try:
             await balancer.wait_for_event("started")
             # A pipe that nobody reads would block the balancer at its next log line.
@@ -51,6 +60,9 @@
         ("large_chunks", CROWD, 64),
         ("random_bytes", 1, 64),
         ("random_bytes", 50, 64),
+        ("malformed_chunks", 50, 64),
+        ("http2_half_bodies", 100, 64),
+        ("http2_endless_header_block", 200, 64),
     ],
 )
 async def test_crowd_exceeds_neither_memory_limit_nor_share_of_good_clients(
