Refuse a response whose head is over 64 KB

An upstream's head was bounded by the library alone, at 128 fields of 8 KB: 40 requests at once to upstreams that send such heads took a process with a limit of 64 MB to 57 MB.

Now the attempt ends as a malformed response. The new case of test_attempt_outcomes failed before.

--- a/pepperhook/server/http1_client.py
+++ b/pepperhook/server/http1_client.py
@@ -29,6 +29,7 @@
 from pepperhook.server.bounded_reads import BoundedReads
 
 MAX_BODY_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # of a response; the library allows 128 fields of 8 KB
 MAX_STALE_CONNECTIONS = 20  # tried in a row for one request
 REUSE_DELAY_S = (
     0.01  # minimum time from the end of a response to the next request on its connection
@@ -84,6 +85,7 @@
         self.remaining: float | None = 0
         self.head_tail = b""  # last bytes of an incomplete head, which may begin HEAD_END
         self.is_head_begun = False
+        self.head_bytes = 0  # received of a head
 
     def set_response_params(self, **params: Any) -> None:
         """Expect a response: a request is about to be written."""
@@ -91,6 +93,7 @@
         self.remaining = None
         self.head_tail = b""
         self.is_head_begun = False
+        self.head_bytes = 0
         super().set_response_params(**params)
 
     @property
@@ -119,6 +122,11 @@
             data = data[len(piece) :]
             if self.remaining is not None:
                 self.remaining -= len(piece)
+            else:
+                self.head_bytes += len(piece)
+                if self.head_bytes > MAX_HEAD_BYTES:
+                    self.set_exception(MalformedResponseError("the head is too long"))
+                    break
             self.head_tail = (self.head_tail + piece)[-(len(HEAD_END) - 1) :]
             self.is_head_begun = True
             super().data_received(piece)
--- a/tests/server/test_attempt_outcomes.py
+++ b/tests/server/test_attempt_outcomes.py
@@ -9,6 +9,7 @@
 from tests.server.peers import ScriptedPeer, always, make_response, read_message
 
 NOT_PROCESSED = b"X-Not-Processed: 1\r\n"
+LONG_FIELDS = [b"A%d: %s\r\n" % (number, b"v" * 4000) for number in range(20)]
 OUTCOMES = [
     (make_response(), Outcome.SERVED),
     (make_response(500), Outcome.ERROR),
@@ -22,6 +23,8 @@
     ((make_response()[:-2],), Outcome.RESET),
     (b"no HTTP\r\n\r\n", Outcome.MALFORMED_RESPONSE),
     (make_response(body=b"x" * 65537), Outcome.MALFORMED_RESPONSE),
+    (make_response(headers=b"".join(LONG_FIELDS[:14])), Outcome.SERVED),
+    (make_response(headers=b"".join(LONG_FIELDS)), Outcome.MALFORMED_RESPONSE),
     (None, Outcome.TIMED_OUT),
 ]
 
