--- a/pepperhook/http2/managed_connection.py
+++ b/pepperhook/http2/managed_connection.py
@@ -24,6 +24,7 @@
     received_bytes = 0  # HTTP/1.1 only: of an incomplete head
     expires_at = 0.0  # when it is closed if still idle, in the event loop's time
     transport: asyncio.Transport | None = None
+    is_counted = True  # whether its message is in the ledger
     is_unfinished = False  # whether it can be shed; each HTTP/2 stream is shed on its own
 
     def has_unread_data(self) -> bool:
--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -32,7 +32,7 @@
 SWEEP_INTERVAL_S = 0.2  # between checks for requests that were not received in time
 # The last id in a GOAWAY that announces a shutdown but still accepts all streams (RFC 9113, 6.8).
 MAX_STREAM_ID = 2**31 - 1
-CONNECTION_BYTES = 12 * 1024  # of an open connection without streams, beside one over HTTP/1.1
+STATE_BYTES = 12 * 1024  # of an open connection without streams, beside one over HTTP/1.1
 BUFFER_COPIES = 2  # of what is not parsed yet: as received, and in frames
 GOAWAY_NOTICE_S = 0.1  # between that GOAWAY and the final one, for requests in transit
 
@@ -135,7 +135,7 @@
 
     def held_bytes(self) -> int:
         """Return what the connection holds in memory, without its streams."""
-        return CONNECTION_BYTES + super().held_bytes() + BUFFER_COPIES * self.h2.unparsed_bytes
+        return STATE_BYTES + super().held_bytes() + BUFFER_COPIES * self.h2.unparsed_bytes
 
     def shed(self) -> None:
         """Close a connection whose header block is incomplete."""
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -15,7 +15,7 @@
 from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S
 from pepperhook.server.http1_client import MAX_BODY_BYTES
 from pepperhook.server.ingress import PLAIN_TEXT
-from pepperhook.server.memory_ledger import message_bytes
+from pepperhook.server.memory_ledger import STREAM_BYTES, message_bytes
 from pepperhook.server.refusal import RequestRefusedError
 
 if TYPE_CHECKING:
@@ -118,7 +118,7 @@
     def held_bytes(self) -> int:
         """Return what the request holds in memory."""
         head = sum(len(name) + len(value) for name, value in self.headers.items())
-        return message_bytes(head, len(self.headers), len(self.body))
+        return STREAM_BYTES + message_bytes(head, len(self.headers), len(self.body))
 
     def shed(self) -> None:
         """Refuse the unfinished request, and free what was received of it."""
--- a/pepperhook/server/app.py
+++ b/pepperhook/server/app.py
@@ -17,7 +17,6 @@
 from pepperhook.server.memory_ledger import (
     BYTES_PER_MB,
     CONNECTION_BYTES,
-    MESSAGE_BYTES,
     MIN_LEDGER_BYTES,
     MemoryLedger,
     resident_bytes,
@@ -55,7 +54,7 @@
         ``memory_for_clients``: bytes for all client connections and their messages.
         """
         usable = sockets - RESERVED_DESCRIPTORS
-        affordable = memory_for_clients / (CONNECTION_BYTES + MESSAGE_BYTES)
+        affordable = memory_for_clients / CONNECTION_BYTES
         clients = int(max(usable // 8, min(usable // 2, affordable)))
         limits = ConnectionLimits(soft=clients, hard=clients + usable // 10)
         return cls(usable * 2 // 5, limits)
--- a/pepperhook/server/client_connection.py
+++ b/pepperhook/server/client_connection.py
@@ -18,6 +18,7 @@
 
 MESSAGE_TIMEOUT_S = 2  # to receive a whole message; for the first one, from connecting
 MAX_HEAD_BYTES = 32 * 1024  # of an incomplete request head
+SMALL_READ_BYTES = 1024  # a message that comes whole in so many bytes counts as its connection
 MAX_REASON_LENGTH = 200  # characters of a parser's error that are kept
 MAX_DISCARDED_BYTES = 256 * 1024  # read and discarded of a closing connection; the rest is unread
 
@@ -40,6 +41,7 @@
         self.content: Any = None  # the library's reader of the body, once the head is complete
         self.field_count = 0  # of a complete head
         self.head_bytes = 0
+        self.is_counted = False  # whether the message is in the ledger, beside its connection
         self.is_shed = False  # answered before it was complete, to make room for others
 
     def data_received(self, data: bytes) -> None:
@@ -68,7 +70,9 @@
             if self.received_bytes > MAX_HEAD_BYTES:
                 self.connections.reject(self, "431 Request Header Fields Too Large")
                 return
-        self.connections.message_grew(self)
+        if self.is_counted or len(data) > SMALL_READ_BYTES or self.is_unfinished:
+            self.is_counted = True
+            self.connections.message_grew(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Unregister the connection."""
@@ -139,6 +143,7 @@
         """Forget the message that was answered."""
         self.is_message_begun = False
         self.answered = True
+        self.is_counted = False
         self.received_bytes = 0
         self.content = None
         self.requests_before = self._request_count  # the library has no public counter
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -392,8 +392,10 @@
         now = self.loop.time()
         self.idle[handler] = now
         handler.expires_at = now + IDLE_TIMEOUT_S
+        was_counted = handler.is_counted
         handler.message_done()
-        self.message_grew(handler)
+        if was_counted or handler.transport.get_write_buffer_size():
+            self.message_grew(handler)
 
     @property
     def count(self) -> int:
--- a/pepperhook/server/memory_ledger.py
+++ b/pepperhook/server/memory_ledger.py
@@ -14,8 +14,10 @@
 
 BYTES_PER_MB = 1024 * 1024
 BYTES_PER_KB = 1024
-CONNECTION_BYTES = 6 * 1024  # of an open HTTP/1.1 connection without a message
-MESSAGE_BYTES = 8 * 1024  # of a message that has begun: its task, request and buffers
+# Of an HTTP/1.1 connection with a small message: its transport and parser 6 KB; 8 KB for the task,
+# request and buffers of a message.
+CONNECTION_BYTES = 14 * 1024
+STREAM_BYTES = 8 * 1024  # of a message on a multiplexed connection
 FIELD_BYTES = 200  # of a header field, beside its text
 MIN_FIELD_LENGTH = 4  # of a header line without a value
 HEAD_COPIES = 2.5  # of the text of a head: raw and decoded
@@ -36,9 +38,8 @@
 
 
 def message_bytes(head_bytes: int, fields: int, body_bytes: int) -> int:
-    """Return what a message holds of which this much was received."""
-    head = fields * FIELD_BYTES + int(head_bytes * HEAD_COPIES)
-    return MESSAGE_BYTES + head + body_bytes * BODY_COPIES
+    """Return what was received of a message takes in memory."""
+    return fields * FIELD_BYTES + int(head_bytes * HEAD_COPIES) + body_bytes * BODY_COPIES
 
 
 def resident_bytes() -> int:
--- a/tests/server/test_memory_limit.py
+++ b/tests/server/test_memory_limit.py
@@ -15,6 +15,7 @@
 SOCKETS = 1024
 CROWD = 800  # clients, more than the descriptors allow at once
 OBSERVED_S = 5.0  # two message timeouts and a half
+LEAST_MEMORY_MB = 32  # of the deployments that the pages name
 MIN_SERVED_SHARE = 0.9  # docs/client-limits.md: of good clients beside a crowd
 
 
@@ -76,3 +77,25 @@
 
     assert peak_mb < memory_mb
     assert responses.served_share >= MIN_SERVED_SHARE
+
+
+async def test_least_memory_limit_is_kept_beside_one_client(tmp_path):
+    async with balancer_with_limit(tmp_path, LEAST_MEMORY_MB) as balancer:
+        assert await balancer.status() == 200
+
+        assert balancer.peak_memory_mb() < LEAST_MEMORY_MB
+
+
+async def test_limit_below_what_the_program_needs_is_logged_and_the_least_is_served(tmp_path):
+    async with ScriptedPeer(always(make_response())) as peer:
+        known = endpoint_list(1, endpoint_rows([peer.address]))
+        limits = {"memory_mb": LEAST_MEMORY_MB}
+        balancer = BalancerProcess(write_config(tmp_path, known=known, limits=limits))
+        try:
+            await balancer.wait_for_event("memory_limit_too_low")
+            await balancer.wait_for_event("started")
+
+            assert await balancer.status() == 200
+        finally:
+            balancer.process.kill()
+            balancer.process.wait()
