Make room first of messages whose rest has not arrived

By reading: the longest unfinished message that makes room for a connection may have arrived as a whole, unread while its reading is paused; its 503 could be lost in a reset. Of the eight oldest, one with nothing unread is refused first. The new test fails without this (the first one gets 503).

--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from errno import EMFILE
 from functools import partial
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -34,6 +35,7 @@
 BACKLOG = 1024  # connections that the kernel queues for this process
 MAX_ACCEPTS = 16  # in one iteration of the event loop
 ACCEPT_PAUSE_S = 0.02  # before accepting is tried again after a failure
+MAX_SHED_CANDIDATES = 8  # unfinished messages that are looked at to make room for a connection
 STREAMS_FACTOR = 4  # concurrent multiplexed requests, as a multiple of the connection limit
 MAX_BUSY_FRACTION = 0.9  # of the soft limit that may be busy; requests beyond it are refused
 
@@ -298,11 +300,20 @@
         return True
 
     def _shed_oldest(self) -> bool:
-        """Refuse the message that has been incomplete for longest; return whether there was one."""
-        oldest = next(iter(self.receiving), None)
-        if oldest is None or self.loop.time() - self.receiving[oldest] <= MIN_IDLE_S:
+        """Refuse the message that has been incomplete for longest; return whether there was one.
+
+        Of the oldest ones, rather one with nothing unread, whose rest has not arrived.
+        """
+        now = self.loop.time()
+        oldest = [
+            handler
+            for handler, since in islice(self.receiving.items(), MAX_SHED_CANDIDATES)
+            if now - since > MIN_IDLE_S
+        ]
+        if not oldest:
             return False
-        self._shed(oldest)
+        stalled = (handler for handler in oldest if not handler.has_unread_data())
+        self._shed(next(stalled, oldest[0]))
         return True
 
     def _shed(self, holder: Any) -> None:
--- a/tests/server/test_shed_messages.py
+++ b/tests/server/test_shed_messages.py
@@ -39,6 +39,34 @@
         second_writer.close()
 
 
+async def test_message_whose_rest_has_arrived_unread_is_not_the_first_to_make_room():
+    # A request that was sent as a whole is owed its answer; a stalled one is not.
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        connections = balancer.connections
+        connections.soft_limit, connections.hard_limit = 2, 4
+        first, first_writer = await send_half_a_body(balancer)
+        await wait_until(lambda: len(connections.receiving) == 1)
+        [connection] = connections.receiving
+        second, second_writer = await send_half_a_body(balancer)
+        await wait_until(lambda: len(connections.receiving) == 2)
+        connection.transport.pause_reading()
+        first_writer.write(b"x" * 499)
+        await wait_until(connection.has_unread_data)
+        await asyncio.sleep(MIN_IDLE_S)
+
+        connections._shed_oldest()
+
+        assert (await balancer.read_response(second))[0] == 503
+        connection.transport.resume_reading()
+        first_writer.write(b"x")
+        assert (await balancer.read_response(first))[0] == 200
+        first_writer.close()
+        second_writer.close()
+
+
 async def test_unfinished_bodies_do_not_count_as_requests_in_flight():
     async with (
         ScriptedPeer(always(make_response())) as peer,
