Do not shed what cannot be read, nor measure a connection that was just closed

Found by reading the change: with the ledger exceeded, a message that could not be read counted as unfinished and got 503 in place of its 400 (the handler then failed, writing after the end); and a response on a connection whose transport had just been closed ended in an AttributeError. Both new tests failed before.

--- a/pepperhook/http2/managed_connection.py
+++ b/pepperhook/http2/managed_connection.py
@@ -33,8 +33,12 @@
 
     def held_bytes(self) -> int:
         """Return what the connection holds in memory, without its streams."""
-        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
-        return CONNECTION_BYTES + unsent
+        return CONNECTION_BYTES + self.unsent_bytes
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes that the client has not read yet, as far as this process holds them."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
     def message_done(self) -> None:
         """Record that a response was written."""
--- a/pepperhook/server/client_connection.py
+++ b/pepperhook/server/client_connection.py
@@ -116,19 +116,25 @@
         """Whether a message has begun and is not complete."""
         if not self.is_message_begun or self.is_shed or self.ending:
             return False
-        return self.content is None or not self.content.is_eof()
+        if self.content is None:
+            return self._request_count == self.requests_before  # else it cannot be read
+        return not self.content.is_eof()
 
     def held_bytes(self) -> int:
         """Return what the connection and its message hold in memory."""
         if not self.is_message_begun:
-            unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
-            return CONNECTION_BYTES + unsent
+            return CONNECTION_BYTES + self.unsent_bytes
         if self.content is None:
             fields = min(self.max_headers, self.received_bytes // MIN_FIELD_LENGTH)
             return CONNECTION_BYTES + message_bytes(self.received_bytes, fields, 0)
         body_bytes = 0 if self.is_shed else self.content.total_bytes
         return CONNECTION_BYTES + message_bytes(self.head_bytes, self.field_count, body_bytes)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes that the client has not read yet, as far as this process holds them."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     def shed(self) -> None:
         """Answer an unfinished message with 503, and free what was received of it."""
         if self.content is None:
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -200,9 +200,9 @@
             handler.transport.write(
                 f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
             )
+            self.ledger.hold(handler, CONNECTION_BYTES, is_unfinished=False)
         self.retire(handler)
         handler.drop_parser()
-        self.ledger.hold(handler, CONNECTION_BYTES, is_unfinished=False)
 
     def retire(self, handler: Any) -> None:
         """Close a connection gracefully. All connections that this side closes end here.
@@ -405,7 +405,7 @@
         handler.expires_at = now + IDLE_TIMEOUT_S
         was_counted = handler.is_counted
         handler.message_done()
-        if was_counted or handler.transport.get_write_buffer_size():
+        if was_counted or handler.unsent_bytes:
             self.message_grew(handler)
 
     @property
--- a/tests/server/test_shed_messages.py
+++ b/tests/server/test_shed_messages.py
@@ -118,6 +118,39 @@
         writer.close()
 
 
+async def test_response_on_a_connection_that_was_just_closed_fails_nothing(release, caplog):
+    async with (
+        ScriptedPeer(release.then(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        _, writer = await balancer.send_request()
+        await wait_until(lambda: peer.requests)
+        [connection] = balancer.connections.busy
+
+        connection.force_close()  # its transport is gone before it is unregistered
+        balancer.connections.request_done(connection)
+        release.set()
+        await wait_until(lambda: not balancer.connections.count)
+        writer.close()
+
+    assert not [record for record in caplog.records if record.levelname == "ERROR"]
+
+
+async def test_message_that_cannot_be_read_is_answered_once():
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        balancer.app.ledger.limit = 1
+        reader, writer = await balancer.connect()
+        writer.write(b"\x00\xff" * 5000)
+
+        response = await reader.read()
+
+        assert response.split()[1] == b"400" and response.count(b"HTTP/1.") == 1
+        writer.close()
+
+
 @pytest.mark.parametrize(
     "beginning",
     [b"", b"GET /look HTTP/1.1\r\nA: b", b"\x00\xff" * 5000],
