Count what is not parsed yet, and free it when its message is shed

Cause: 16 KB that wait behind a paused parser counted as the head, at 2.5 times their size, also after the message had been shed, and really stayed until its connection closed. Now a head counts by its fields, unparsed bytes as they are, and a shed message frees them.

--- a/pepperhook/server/client_connection.py
+++ b/pepperhook/server/client_connection.py
@@ -10,7 +10,7 @@
 from aiohttp.web_protocol import _ErrInfo
 
 from pepperhook.server import http1_client
-from pepperhook.server.bounded_reads import BoundedReads
+from pepperhook.server.bounded_reads import READ_BYTES, BoundedReads
 from pepperhook.server.memory_ledger import CONNECTION_BYTES, MIN_FIELD_LENGTH, message_bytes
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
         self._shorten_parse_errors()
         messages = self._request_count - self.requests_before
         if messages and self.content is None:
-            self._measure_head(len(data))
+            self._measure_head()
         if messages > 1 or is_early:
             # A pipelining client could queue hundreds of messages here. Stop reading, but still
             # answer the request in flight.
@@ -79,13 +79,13 @@
         super().connection_lost(exc)
         self.content = None  # refers to this connection: only a garbage collection would free both
 
-    def _measure_head(self, received: int) -> None:
-        """Keep the size of a head that was completed by the last ``received`` bytes."""
+    def _measure_head(self) -> None:
+        """Keep the size of a head that was just completed."""
         message, payload = self._messages[-1]
         if not isinstance(message, _ErrInfo):
             self.content = payload
             self.field_count = len(message.raw_headers)
-            self.head_bytes = max(0, self.received_bytes + received - payload.total_bytes)
+            self.head_bytes = sum(len(name) + len(value) for name, value in message.raw_headers)
 
     def _shorten_parse_errors(self) -> None:
         """Keep only the beginning of what the parser reports of unreadable bytes.
@@ -127,8 +127,12 @@
         if self.content is None:
             fields = min(self.max_headers, self.received_bytes // MIN_FIELD_LENGTH)
             return CONNECTION_BYTES + message_bytes(self.received_bytes, fields, 0)
-        body_bytes = 0 if self.is_shed else self.content.total_bytes
-        return CONNECTION_BYTES + message_bytes(self.head_bytes, self.field_count, body_bytes)
+        head_bytes = message_bytes(self.head_bytes, self.field_count, 0)
+        if self.is_shed:
+            return CONNECTION_BYTES + head_bytes
+        unparsed_bytes = READ_BYTES if self.is_unfinished else 0  # while its reader waits
+        body_bytes = message_bytes(0, 0, self.content.total_bytes)
+        return CONNECTION_BYTES + head_bytes + unparsed_bytes + body_bytes
 
     @property
     def unsent_bytes(self) -> int:
@@ -141,6 +145,7 @@
             self.connections.reject(self, "503 Service Unavailable")
         else:
             self.is_shed = True
+            self.drop_parser()
             self.connections.receiving.pop(self, None)
             self.content.feed_eof()  # wakes the server, which refuses the request
             self.connections.turns.end_wait(self)
@@ -155,7 +160,7 @@
         self.requests_before = self._request_count  # the library has no public counter
 
     def drop_parser(self) -> None:
-        """Free an incomplete head; nothing more is parsed."""
+        """Free what is not parsed yet, or an incomplete head; nothing more is parsed."""
         self._parser = None
 
     def has_unread_data(self) -> bool:
