--- a/tests/server/test_memory_limit.py
+++ b/tests/server/test_memory_limit.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.http2.fast_client import fast_client
 from tests.programs import write_config
 from tests.server.balancer_process import BalancerProcess
 from tests.server.balancers import endpoint_list, endpoint_rows
@@ -80,6 +81,15 @@
     assert responses.served_share >= MIN_SERVED_SHARE, responses.refusals
 
 
+async def test_valid_requests_of_one_client_at_full_speed_leave_others_their_share(tmp_path):
+    # One HTTP/2 connection used up the admission of all others.
+    async with balancer_with_limit(tmp_path, 64) as balancer:
+        with fast_client(balancer.port):
+            responses = await send_good_requests(balancer, OBSERVED_S, GOOD_CLIENTS)
+
+    assert responses.served_share >= MIN_SERVED_SHARE, responses.refusals
+
+
 async def test_least_memory_limit_is_kept_beside_one_client(tmp_path):
     async with balancer_with_limit(tmp_path, LEAST_MEMORY_MB) as balancer:
         assert await balancer.status() == 200
