Reproduce shed messages that wait for a turn, beside which good clients get 503

A shed message is woken once, but waits for a turn again for each part that had been parsed before. So it is parked instead of answered, and counts as a request in flight meanwhile, until nine tenths of the limit are used.

The new test lets no turn be granted and sheds one message: no answer within 1 s.

--- a/tests/server/test_parsing_turns.py
+++ b/tests/server/test_parsing_turns.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
+from pepperhook.server import parsing_turns
 from pepperhook.server.parsing_turns import FREE_READS, TURNS_PER_ITERATION, ParsingTurns
+from tests.server.balancers import RunningBalancer, wait_until
+
+ANSWERED_WITHIN_S = 1  # a shed message, before the timeout of an incomplete one
+TINY_CHUNKS = b"2\r\nab\r\n" * 1000
 
 
 async def test_first_small_reads_of_a_message_do_not_wait():
@@ -62,3 +67,21 @@
     await asyncio.gather(waiting, return_exceptions=True)
 
     assert not turns.waiting
+
+
+async def test_message_that_is_shed_is_answered_though_parsed_parts_wait_to_be_read(monkeypatch):
+    # Hundreds of shed messages waited for turns, counted as in flight, and others got 503.
+    monkeypatch.setattr(parsing_turns, "TURNS_PER_ITERATION", 0)
+    async with RunningBalancer() as balancer:
+        connections = balancer.connections
+        head = balancer.make_request("/pay", b"POST", Content_Length=None)
+        reader, writer = await balancer.connect()
+        writer.write(head[:-2] + b"Transfer-Encoding: chunked\r\n\r\n" + TINY_CHUNKS)
+        await wait_until(lambda: connections.turns.waiting)
+        [connection] = connections.receiving
+
+        connections._shed(connection)
+
+        async with asyncio.timeout(ANSWERED_WITHIN_S):
+            assert (await balancer.read_response(reader))[0] == 503
+        writer.close()
