Log the states of client connections when requests are refused for too many

A balancer that refused requests with 'too many connections' logged only how many it refused.

client_connections is logged when such refusals begin and when they are over; connections, with the same figures, on SIGUSR1. ConnectionReports has both and the memory figures that were in Connections, and the check that stood in the servers of both protocols is one method.

--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -90,8 +90,7 @@
 
     def _check_head(self, path: str, is_end_of_stream: bool) -> None:
         """Check the headers and set the service class. Raises RequestRefusedError."""
-        if self.connection.connections.has_too_many_busy:
-            raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too many connections")
+        self.connection.connections.check_busy()
         length = self.headers.get("Content-Length")
         has_body = not is_end_of_stream or bool(length and length != "0")
         self.service_class = self.connection.ingress.service_class(
--- a/pepperhook/server/app.py
+++ b/pepperhook/server/app.py
@@ -153,7 +153,9 @@
     def log_state(self) -> None:
         """Log the counters, and the policy's state of each upstream next to that of its sockets."""
         self.log_counters()
-        self.log.info("memory", **self.http_server.server.memory_fields(resident_bytes()))
+        reports = self.http_server.server.reports
+        self.log.info("memory", **reports.memory_fields(resident_bytes()))
+        self.log.info("connections", **reports.connection_fields())
         policy = self.runtime.policy
         if not hasattr(policy, "retry_budget"):
             return  # a baseline policy for experiments, which has no such state
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from errno import EMFILE
 from functools import partial
+from http import HTTPStatus
 from itertools import islice
 from typing import TYPE_CHECKING, Any
 
@@ -15,13 +16,10 @@
 
 from pepperhook.server.backlog_wait import BacklogWait, waiting_connections
 from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S, Connection
-from pepperhook.server.memory_ledger import (
-    BYTES_PER_MB,
-    CONNECTION_BYTES,
-    MemoryLedger,
-    resident_bytes,
-)
+from pepperhook.server.connection_reports import ConnectionReports
+from pepperhook.server.memory_ledger import CONNECTION_BYTES, MemoryLedger
 from pepperhook.server.parsing_turns import ParsingTurns
+from pepperhook.server.refusal import RequestRefusedError
 
 if TYPE_CHECKING:
     from pepperhook.server.config import Address
@@ -70,6 +68,7 @@
         self.ledger = ledger
         self.log = log
         self.turns = ParsingTurns(self.loop)
+        self.reports = ConnectionReports(self)
         self.serve_unreadable = serve_unreadable
         self.soft_limit = soft_limit
         self.hard_limit = hard_limit
@@ -191,7 +190,7 @@
                 self.counters.add("connections idle too long")
         for handler in [handler for handler, deadline in self.ending.items() if deadline < now]:
             self.abort(handler)
-        self._watch_memory()
+        self.reports.watch()
 
     def reject(self, handler: Any, status: str) -> None:
         """Answer an incomplete message with ``status`` and close its connection."""
@@ -340,26 +339,6 @@
             if handler.transport is None or not handler.transport.get_write_buffer_size():
                 self.abort(handler)
 
-    def _watch_memory(self) -> None:
-        """Adapt the limit to the process's memory, and log when messages hold much of it."""
-        resident = resident_bytes()
-        self.ledger.measure_process(resident)
-        if self.ledger.crosses_threshold():
-            self.log.info("client_memory", **self.memory_fields(resident))
-
-    def memory_fields(self, resident: int) -> dict[str, Any]:
-        """Return what messages hold and the process uses, in MB, as fields of a log line."""
-        ledger = self.ledger
-        return {
-            "state": "high" if ledger.is_high else "normal",
-            "held_mb": round(ledger.total / BYTES_PER_MB, 1),
-            "peak_mb": round(ledger.peak / BYTES_PER_MB, 1),
-            "limit_mb": round(ledger.limit / BYTES_PER_MB, 1),
-            "resident_mb": round(resident / BYTES_PER_MB, 1),
-            "unfinished": len(ledger.unfinished),
-            "connections": self.count,
-        }
-
     # Events of connections.
 
     def connection_made(self, handler: Any, transport: asyncio.Transport) -> None:
@@ -429,3 +408,10 @@
     def has_too_many_busy(self) -> bool:
         """Whether so many requests are in flight that new ones must be refused."""
         return len(self.busy) - len(self.receiving) > MAX_BUSY_FRACTION * self.soft_limit
+
+    def check_busy(self) -> None:
+        """Raise RequestRefusedError if so many requests are in flight."""
+        if self.has_too_many_busy:
+            self.reports.too_many_busy()
+            # No sockets are left to serve the request; nothing was sent, so a retry is harmless.
+            raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too many connections")
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -161,9 +161,7 @@
             return self._refuse(error)
 
     async def _forward(self, request: Any) -> web.Response:
-        if self.server.has_too_many_busy:
-            # No sockets are left to serve the request; nothing was sent, so a retry is harmless.
-            raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE, "too many connections")
+        self.server.check_busy()
         if request.protocol.is_pipelined:
             raise RequestRefusedError(
                 HTTPStatus.BAD_REQUEST, "one message at a time is wanted on a connection"
