Answer a shed message at once, with parsed parts of it still unread

Reading a body stops as soon as its message is shed, so that it is answered in the same iteration and its connection is closed.

--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -241,7 +241,7 @@
     async def _read_parts(self, request: Any) -> bytes:
         body = bytearray()
         small_reads = 0
-        while part := await request.content.readany():
+        while (part := await request.content.readany()) and not request.protocol.is_shed:
             body += part
             if len(body) > MAX_BODY_BYTES:
                 raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
