Reject requests of the connection that has most in flight and queued first

Cause, from a trial that printed the queue at each such rejection: all places but that of the new request were held by requests of the fast connection, of the same value and older, so that the newest, which was another client's, was rejected each time.

When the queue is too long, the n-th request that a connection has in flight and queued counts with 1/n of its value; the least is rejected, the latest of equals. Requests of HTTP/1.1 connections, which carry one at a time, and of the simulator have no connection number: they are chosen as before.

--- a/pepperhook/capture/driver.py
+++ b/pepperhook/capture/driver.py
@@ -29,6 +29,8 @@
 from pepperhook.settings import Settings
 from pepperhook.stored_words import CALL_OF, OUTCOME_OF
 
+REQUEST_FIELDS = 5  # of a request itself, in an ``operation`` record
+
 
 class Driver:
     """One policy under replay, with the objects that its host would share with it."""
@@ -100,15 +102,18 @@
     def add_request(self, number: int, request_id: Any, stored_class: Any, *fields: Any) -> None:
         """Create the request of an ``operation`` record.
 
-        The last field is the number of its service class. ``stored_class`` is None if the class is
-        the one that the settings have under this number.
+        After its own fields come the number of its service class, and that of its client's
+        connection if it has one. ``stored_class`` is None if the class is the one that the settings
+        have under this number.
         """
-        *other_fields, class_number = fields
+        own_fields, (class_number, *connection) = fields[:REQUEST_FIELDS], fields[REQUEST_FIELDS:]
         if stored_class is None:
             service_class = self.settings.service_classes[class_number]
         else:
             service_class = stored_settings.decode_class(stored_class)
-        request = self.requests[number] = Request(request_id, service_class, *other_fields)
+        request = self.requests[number] = Request(
+            request_id, service_class, *own_fields, *connection
+        )
         self.numbers.requests[request] = number
         self.numbers.last[LAST_REQUEST] = number
 
--- a/pepperhook/capture/legacy_state.py
+++ b/pepperhook/capture/legacy_state.py
@@ -49,6 +49,7 @@
         "drains_pass_checks",
         "next_check_at",
         "checked",
+        "client_connection",
     )
 )
 KEEP_GONE_NS = 60 * 10**9  # how long 0.2 kept the position of an upstream that was gone
@@ -276,6 +277,7 @@
     def fill_request(self, old: Any, new: Request) -> None:
         """Set the attributes of a converted request."""
         self.copy_attributes(old, new, REQUEST)
+        new.client_connection = None
         new.service_class = self.convert_service_class(old.grade)
         new.attempts = [self.convert_attempt(attempt) for attempt in old.dispatches]
 
--- a/pepperhook/capture/recorder.py
+++ b/pepperhook/capture/recorder.py
@@ -103,7 +103,9 @@
         scalars = (str, bytes, int, type(None))
         key = request.key if isinstance(request.key, scalars) else str(request.key)
         fields = [request.tenant, key, request.deadline, request.cost_ns, request.is_retry]
-        return [request.id, stored, *fields, number]
+        # Left out where there is none, as in captures of earlier builds.
+        connection = [] if request.client_connection is None else [request.client_connection]
+        return [request.id, stored, *fields, number, *connection]
 
     def number_attempt(self, attempt: Attempt) -> int:
         """Return the number of an attempt; assign the next number if it has none."""
--- a/pepperhook/domain.py
+++ b/pepperhook/domain.py
@@ -240,12 +240,14 @@
     """A client's request, which ends with exactly one final response.
 
     ``is_retry``: marked as a retry by the client; ``cost_ns``: declared cost; ``value``: set by the
-    priority stage; ``key``: not used by the policy. Times are in nanoseconds.
+    priority stage; ``key``: not used by the policy; ``client_connection``: a number of the client's
+    connection if it may carry several requests at once, else None. Times are in nanoseconds.
     """
 
     __slots__ = (
         "accepted_at",
         "attempts",
+        "client_connection",
         "cost_ns",
         "deadline",
         "finished",
@@ -271,6 +273,7 @@
         deadline: int,
         cost_ns: int | None = None,
         is_retry: bool = False,
+        client_connection: int | None = None,
     ) -> None:
         """Create a request; ``deadline`` is the time by which its final response is due."""
         self.id = id
@@ -280,6 +283,7 @@
         self.deadline = deadline
         self.cost_ns = cost_ns
         self.is_retry = is_retry
+        self.client_connection = client_connection
         self.accepted_at = 0
         self.objective_at = 0
         self.value = 0.0
--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any, cast
@@ -34,6 +35,7 @@
 MAX_STREAM_ID = 2**31 - 1
 STATE_BYTES = 12 * 1024  # of an open connection without streams, beside one over HTTP/1.1
 BUFFER_COPIES = 2  # of what is not parsed yet: as received, and in frames
+CONNECTION_NUMBERS = itertools.count(1)
 GOAWAY_NOTICE_S = 0.1  # between that GOAWAY and the final one, for requests in transit
 
 
@@ -64,6 +66,7 @@
         self.counters = counters
         self.max_streams = max_streams
         self.is_shutting_down = is_shutting_down
+        self.number = next(CONNECTION_NUMBERS)
         self.client_address: str | None = None
         self.streams: dict[int, ServerStream] = {}  # by stream id
         self.last_stream_id = 0  # the highest id accepted
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -180,7 +180,7 @@
                 self.connection.is_client_waiting,
             )
             # 0 seconds: a request on a stream has not waited to be accepted.
-            request = ingress.request(self.headers, service_class, 0)
+            request = ingress.request(self.headers, service_class, 0, self.connection.number)
             final_response = await ingress.handle(request, message)
         except RequestRefusedError as error:
             ingress.count_refusal(error)
--- a/pepperhook/policy/admission.py
+++ b/pepperhook/policy/admission.py
@@ -1,5 +1,8 @@
 """Admission control: queues requests briefly while no upstream has capacity, and sheds the least valuable."""
 
+from collections import Counter
+from math import inf
+
 from pepperhook.decision_notes import QueuedNote, RejectionNote, RejectionReason
 from pepperhook.domain import Attempt, Request
 from pepperhook.pipeline import Stage
@@ -25,9 +28,31 @@
         self._enqueue(now, request)
         self.release(now)
         while len(self.queue) > QUEUED_PER_MEMBER * max(1, len(self.balancer.subset.members)):
-            self._reject(now, self.queue[-1], RejectionReason.LEAST_VALUABLE)
+            self._reject(now, self._least_valuable(), RejectionReason.LEAST_VALUABLE)
         return True
 
+    def _least_valuable(self) -> Request:
+        """Return the queued request to reject first.
+
+        Of the requests that a client connection has in flight and queued, the n-th counts with 1/n of its
+        value. Otherwise one connection with many requests would leave no place in the queue to others.
+        """
+        least, least_share = self.queue[-1], inf
+        if all(request.client_connection is None for request in self.queue):
+            return least
+        counts = Counter(request.client_connection for request in self._requests_in_flight())
+        for request in self.queue:
+            connection = request.client_connection
+            counts[connection] += 1
+            share = request.value if connection is None else request.value / counts[connection]
+            if share <= least_share:
+                least, least_share = request, share
+        return least
+
+    def _requests_in_flight(self) -> set[Request]:
+        members = self.balancer.subset.members
+        return {attempt.request for upstream in members for attempt in upstream.in_flight}
+
     def _enqueue(self, now: int, request: Request) -> None:
         self.balancer.note(request, QueuedNote, self.queue.add(request), len(self.queue))
         expires_at = request.accepted_at + int(MAX_QUEUE_TIME * request.service_class.objective_ns)
--- a/pepperhook/server/ingress.py
+++ b/pepperhook/server/ingress.py
@@ -165,8 +165,17 @@
             message.client_address = client_address
         return message
 
-    def request(self, headers: Any, service_class: ServiceClass, waited_s: float) -> Request:
-        """Create the request; ``waited_s``: how long it may have waited before it was read."""
+    def request(
+        self,
+        headers: Any,
+        service_class: ServiceClass,
+        waited_s: float,
+        client_connection: int | None = None,
+    ) -> Request:
+        """Create the request; ``waited_s``: how long it may have waited before it was read.
+
+        ``client_connection``: as in ``Request``.
+        """
         limit_ns = service_class.time_limit_ns
         timeout_ms = _whole_number(headers, "X-Timeout-Ms")
         if timeout_ms is not None:
@@ -192,6 +201,7 @@
             deadline,
             cost_us * NS_PER_US if cost_us else None,
             headers.get("X-Retried") == "1",
+            client_connection,
         )
 
     def _tenant(self, name: str | None) -> int | None:
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -9,8 +9,9 @@
 from pepperhook.capture import replay
 from pepperhook.container import ContainerWriter, FileMetadata
 from pepperhook.lab.proofs.replay import ReplayProof
+from pepperhook.units import MILLISECOND
 from tests.capture.captured_simulation import POLICY_FOLDER, CapturedSimulation, changed_policy
-from tests.policy.simulation import LOAD_QUERY_SETTINGS
+from tests.policy.simulation import LOAD_QUERY_SETTINGS, constant
 
 # Written by `pepperhook lab prove replay --write tests/captures`; each begins with the policy's
 # start.
@@ -34,6 +35,27 @@
     assert result.states_differ == []
 
 
+def test_client_connections_of_requests_are_replayed(tmp_path):
+    class ConnectedSimulation(CapturedSimulation):
+        def make_request(self, *arguments, **options):
+            request = super().make_request(*arguments, **options)
+            request.client_connection = len(self.requests) % 3 or None
+            return request
+
+    simulation = ConnectedSimulation(4, tmp_path / "a", state_probability=0.01)
+    simulation.latency_of = constant(200 * MILLISECOND)
+    simulation.run(1500, arrival_probability=0.7)
+    simulation.writer.close()
+    fairness = "request.value / counts[connection]"
+
+    result = replay.replay_file(tmp_path / "a", Balancer)
+    unfair = changed_policy(tmp_path, "admission", fairness, "request.value")
+
+    assert result.difference is None
+    assert result.states_checked > 3 and result.states_differ == []
+    assert replay.replay_file(tmp_path / "a", unfair).difference is not None
+
+
 def test_capture_that_begins_with_a_state_replays_from_there(tmp_path):
     simulation = CapturedSimulation(3, tmp_path / "a")
     simulation.run(500, arrival_probability=0.3)
--- a/tests/http2/test_server.py
+++ b/tests/http2/test_server.py
@@ -41,6 +41,28 @@
         assert sorted(len(request.body) for request in upstream.requests) == list(range(1, 40))
 
 
+async def test_requests_name_the_connection_that_they_share(monkeypatch):
+    async with (
+        ScriptedUpstream() as upstream,
+        RunningBalancer([upstream.address], extensions=HTTP2_BOTH_SIDES) as balancer,
+        ScriptedClient(balancer.port) as first,
+        ScriptedClient(balancer.port) as second,
+    ):
+        accepted = []
+        accept = balancer.policy.accept
+        monkeypatch.setattr(
+            balancer.policy, "accept", lambda now, r: accepted.append(r) or accept(now, r)
+        )
+
+        for client in (first, first, second):
+            assert await client.response(client.request()) == (200, b"done")
+        assert await balancer.status() == 200
+
+        numbers = [request.client_connection for request in accepted]
+        assert numbers[0] == numbers[1] != numbers[2]
+        assert None not in numbers[:3] and numbers[3] is None
+
+
 async def test_a_request_is_forwarded_with_its_body_headers_and_remaining_time():
     async with (
         ScriptedUpstream() as upstream,
