Reproduce a deadline passed on that is longer than what the client has left

Beside a crowd of 800 clients, good clients' connections wait in the kernel's backlog for 0.6 s.

The wait counts only while accepting is paused because connections are used up. Beside a crowd that is shed for its memory, accepting goes on, sixteen an iteration, and the backlog never empties.

--- a/tests/server/test_backlog_wait.py
+++ b/tests/server/test_backlog_wait.py
@@ -3,9 +3,13 @@
 import asyncio
 import socket
 
+from pepperhook.server import client_connections
 from pepperhook.server.backlog_wait import BacklogWait, waiting_connections
+from tests.server.balancers import RunningBalancer, wait_until
+from tests.server.peers import ScriptedPeer, always, header_value, make_response
 
 BACKLOG = 8
+WAIT_S = 0.3
 
 
 def test_connection_came_after_the_last_time_when_too_few_had_come():
@@ -55,3 +59,49 @@
         assert waiting_connections(unconnected, BACKLOG) is None
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
         assert waiting_connections(datagrams, BACKLOG) is None
+
+
+async def test_deadline_passed_on_is_less_by_the_wait_in_the_backlog(monkeypatch):
+    # Beside a crowd a server was told up to 0.7 s more than its client had left.
+    monkeypatch.setattr(client_connections, "MAX_ACCEPTS", 1)
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        connections = balancer.connections
+        await balancer.status()
+        connections.loop.remove_reader(connections.listener)
+        opened = [await balancer.send_request(X_Timeout_Ms="2000") for _ in range(2)]
+        await wait_until(lambda: waiting_in(connections) == 2)
+
+        connections._accept()
+        await asyncio.sleep(WAIT_S)
+        connections._accept()
+
+        for reader, writer in opened:
+            assert (await balancer.read_response(reader))[0] == 200
+            writer.close()
+        timeouts_ms = [int(header_value(head, b"X-Timeout-Ms")) for head, _ in peer.requests[1:]]
+        assert max(timeouts_ms) > 1900
+        assert min(timeouts_ms) <= 2000 - WAIT_S * 1000
+
+
+async def test_connection_that_comes_after_a_rest_has_not_waited():
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        await balancer.status()
+        await asyncio.sleep(WAIT_S)
+        opened = [await balancer.send_request(X_Timeout_Ms="2000") for _ in range(40)]
+        for reader, writer in opened:
+            await balancer.read_response(reader)
+            writer.close()
+
+        timeouts_ms = [int(header_value(head, b"X-Timeout-Ms")) for head, _ in peer.requests[1:]]
+        assert min(timeouts_ms) > 2000 - WAIT_S * 1000
+
+
+def waiting_in(connections):
+    """Return how many connections wait for this server to accept them."""
+    return waiting_connections(connections.listener, client_connections.BACKLOG)
