Charge each connection with its own wait in the backlog

A connection has waited since the first look at the backlog that it was part of; accepting looks in each iteration, and the lateness of the event loop is charged on its own. So the wait counts always, also for the requests that come with the first bytes over HTTP/2, which counted none. Where the system does not tell how many wait, it counts as before.

--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -54,11 +54,13 @@
         counters: Counters,
         max_streams: int,
         request_turns: RequestTurns,
+        waited_s: float,
         is_shutting_down: Callable[[], bool],
     ) -> None:
         """``max_streams``: how many streams the client may have open at once.
 
-        ``request_turns``: shared by all connections.
+        ``request_turns``: shared by all connections; ``waited_s``: how long the connection, and
+        the requests that come with its first bytes, waited to be accepted.
         """
         Http2Protocol.__init__(
             self,
@@ -71,6 +73,7 @@
         self.counters = counters
         self.max_streams = max_streams
         self.request_turns = request_turns
+        self.waited_s = waited_s
         self.is_shutting_down = is_shutting_down
         self.number = next(CONNECTION_NUMBERS)
         self.client_address: str | None = None
@@ -134,6 +137,7 @@
                 handle(self, event)
                 if self.is_closed:
                     return
+        self.waited_s = 0.0
         self.flush()
         self.connections.message_grew(self)
 
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -44,12 +44,14 @@
         "is_answered",
         "deadline",
         "task",
+        "waited_s",
     )
 
     def __init__(self, connection: ServerConnection, event: RequestReceived) -> None:
         """Read the headers of the request."""
         super().__init__(event.stream_id)
         self.connection = connection
+        self.waited_s = connection.waited_s
         headers: CIMultiDict[str] = CIMultiDict()
         self.headers = headers
         self.method = ""
@@ -179,8 +181,9 @@
                 self.connection.client_address,
                 self.connection.is_client_waiting,
             )
-            # 0 seconds: a request on a stream has not waited to be accepted.
-            request = ingress.request(self.headers, service_class, 0, self.connection.number)
+            request = ingress.request(
+                self.headers, service_class, self.waited_s, self.connection.number
+            )
             await self._wait_for_turn(request)
             final_response = await ingress.handle(request, message)
         except RequestRefusedError as error:
--- a/pepperhook/server/backlog_wait.py
+++ b/pepperhook/server/backlog_wait.py
@@ -1,7 +1,7 @@
-"""Bounds how long a connection has waited in the kernel's backlog before it was accepted.
+"""Measures how long a connection has waited in the kernel's backlog before it was accepted.
 
 The kernel accepts connections in the order in which they came, and tells how many wait. So each
-one came after the last time at which too few had come for it to be among them.
+one has waited since the first time at which enough had come for it to be among them.
 """
 
 from __future__ import annotations
@@ -36,21 +36,25 @@
     def __init__(self) -> None:
         """Start without observations."""
         self.accepted = 0
-        self._arrivals: deque[tuple[float, int]] = deque()  # times, with how many had come by then
+        # The first time at which so many were seen to have come.
+        self._arrivals: deque[tuple[float, int]] = deque()
 
     def observe(self, now: float, waiting: int) -> None:
         """Record that so many connections wait."""
-        arrived = self.accepted + waiting
-        if self._arrivals and self._arrivals[-1][1] >= arrived:
-            self._arrivals.pop()  # nobody came since: the later time is the better bound
-        self._arrivals.append((now, arrived))
-
-    def accept(self, now: float) -> float | None:
-        """Count an accepted connection; return how long it waited at most, None if unknown."""
+        arrived, since = self.accepted + waiting, now
+        # It may have become less: the kernel drops some that were reset.
+        while self._arrivals and self._arrivals[-1][1] >= arrived:
+            since, _ = self._arrivals.pop()
+        self._arrivals.append((since, arrived))
+
+    def accept(self, now: float) -> float:
+        """Count an accepted connection; return for how long it has been seen to wait.
+
+        It may have come earlier, while nobody looked: the event loop was late, which is charged on
+        its own, or nothing was waiting until it came, which wakes the event loop.
+        """
         self.accepted += 1
         arrivals = self._arrivals
-        while len(arrivals) > 1 and arrivals[1][1] < self.accepted:
+        while arrivals and arrivals[0][1] < self.accepted:
             arrivals.popleft()
-        if not arrivals or arrivals[0][1] >= self.accepted:
-            return None
-        return now - arrivals[0][0]
+        return now - arrivals[0][0] if arrivals else 0.0
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -77,9 +77,9 @@
         self.receiving: dict[Any, float] = {}  # the latter, with the time of their head
         self.arriving: set[asyncio.Task[Any]] = set()  # create the transport of a connection
         self.ending: dict[Any, float] = {}  # closing, with the deadline; oldest first
-        # If HTTP/2 is enabled: takes the factory of HTTP/1.1 connections and returns a connection
-        # that detects the protocol.
-        self.detect_protocol: Callable[[Callable[[], Any]], Any] | None = None
+        # If HTTP/2 is enabled: takes the factory of HTTP/1.1 connections, and how long a connection
+        # waited to be accepted; returns one that detects the protocol.
+        self.detect_protocol: Callable[[Callable[[], Any], float], Any] | None = None
         self.streams: set[Any] = set()  # requests on multiplexed connections
         self.max_streams = STREAMS_FACTOR * soft_limit
         # Those of them whose response waits for the client's window, the longest waiting first.
@@ -122,19 +122,19 @@
                 # would waste the core.
                 self._pause_accepting(self.listener, now)
                 return False
-            self._connect(accepted, self._waited_s(now))
+            self._connect(accepted, self._waited_s(now, waiting is not None))
         return False
 
-    def _waited_s(self, now: float) -> float:
-        """Return how long a connection that is accepted now may have waited in the backlog.
+    def _waited_s(self, now: float, is_told: bool) -> float:
+        """Return how long a connection that is accepted now has waited in the backlog.
 
-        Beside a crowd the backlog may never be empty, so that the time since then says little.
+        ``is_told``: whether the system tells how many wait. Otherwise it may have waited since
+        accepting was paused.
         """
-        waited_s = self._backlog_wait.accept(now)
-        if self._full_since is None:
-            return 0
-        full_s = now - self._full_since
-        return full_s if waited_s is None else min(full_s, waited_s)
+        seen_s = self._backlog_wait.accept(now)
+        if is_told:
+            return seen_s
+        return 0 if self._full_since is None else now - self._full_since
 
     def _pause_accepting(self, listener: socket.socket, now: float) -> None:
         if self._full_since is None:
@@ -152,7 +152,7 @@
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connect: Any = partial(Connection, self, waited_s, loop=self.loop, **self.options)
         if self.detect_protocol is not None:
-            connect = partial(self.detect_protocol, connect)
+            connect = partial(self.detect_protocol, connect, waited_s)
         task = self.loop.create_task(self.loop.connect_accepted_socket(connect, accepted))
         self.arriving.add(task)
         task.add_done_callback(self.arriving.discard)
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -88,18 +89,19 @@
 
         request_turns = RequestTurns(self.runtime.loop)
 
-        def make_http2() -> ServerConnection:
+        def make_http2(waited_s: float) -> ServerConnection:
             return ServerConnection(
                 self.server,
                 self.ingress,
                 self.counters,
                 max_streams,
                 request_turns,
+                waited_s,
                 is_shutting_down=lambda: self.is_shutting_down,
             )
 
-        def make_detector(make_http1: Any) -> ProtocolDetector:
-            return ProtocolDetector(self.server, make_http1, make_http2)
+        def make_detector(make_http1: Any, waited_s: float) -> ProtocolDetector:
+            return ProtocolDetector(self.server, make_http1, partial(make_http2, waited_s))
 
         self.server.detect_protocol = make_detector
 
