--- a/tests/server/good_clients.py
+++ b/tests/server/good_clients.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 OK = 200
+MIN_SERVED_SHARE = 0.9  # docs/client-limits.md: of good clients beside misbehaving ones
 REQUEST_INTERVAL_S = 0.1
 RESPONSE_TIMEOUT_S = 3  # longer than the time limit of the service class
 
--- a/tests/server/test_memory_limit.py
+++ b/tests/server/test_memory_limit.py
@@ -1,8 +1,5 @@
 """A balancer stays under its memory limit, and serves good clients, beside misbehaving ones."""
 
-import contextlib
-import threading
-
 import pytest
 
 from tests.http2.fast_client import fast_client
@@ -10,44 +7,14 @@
 from tests.server.balancer_process import BalancerProcess
 from tests.server.balancers import endpoint_list, endpoint_rows
 from tests.server.client_crowd import crowd
-from tests.server.good_clients import send_good_requests
+from tests.server.good_clients import MIN_SERVED_SHARE, send_good_requests
+from tests.server.limited_balancer import balancer_with_limit
 from tests.server.peers import ScriptedPeer, always, make_response
 
-SOCKETS = 1024
 CROWD = 800  # clients, more than the descriptors allow at once
 GOOD_CLIENTS = 4
 OBSERVED_S = 5.0  # two message timeouts and a half
 LEAST_MEMORY_MB = 32  # of the deployments that the pages name
-MIN_SERVED_SHARE = 0.9  # docs/client-limits.md: of good clients beside a crowd
-
-
-def write_operator_file(directory):
-    """Write an operator's file that enables HTTP/2; return its path."""
-    path = directory / "operator.toml"
-    path.write_text('version = 1\n[h2]\nclients = true\nupstreams = "http/1.1"\nstreams = 100\n')
-    return str(path)
-
-
-@contextlib.asynccontextmanager
-async def balancer_with_limit(directory, memory_mb):
-    """Run a balancer with a memory limit in its configuration, and two upstreams."""
-    async with (
-        ScriptedPeer(always(make_response())) as first,
-        ScriptedPeer(always(make_response())) as second,
-    ):
-        known = endpoint_list(1, endpoint_rows([first.address, second.address]))
-        limits = {"memory_mb": memory_mb, "sockets": SOCKETS}
-        environment = write_config(directory, known=known, limits=limits)
-        environment["LB_OPERATOR"] = write_operator_file(directory)
-        balancer = BalancerProcess(environment)
-        try:
-            await balancer.wait_for_event("started")
-            # A pipe that nobody reads would block the balancer at its next log line.
-            threading.Thread(target=balancer.process.stderr.read, daemon=True).start()
-            yield balancer
-        finally:
-            balancer.process.kill()
-            balancer.process.wait()
 
 
 @pytest.mark.parametrize(
