Do not charge a request for the wait of its connection before it was sent

A client that connects beside a crowd and sends later had its time limit cut by the wait of its connection in the backlog (1,673 ms passed on of 2,000 after a wait of 300 ms). Only what has arrived as the connection is accepted has waited; the socket is asked, if there was a wait.

The new test failed before (above).

--- a/pepperhook/server/backlog_wait.py
+++ b/pepperhook/server/backlog_wait.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 from collections import deque
@@ -30,6 +31,13 @@
     return int(waiting) if most == backlog else None
 
 
+def has_received(connection: socket.socket) -> bool:
+    """Whether the client has sent something, or has closed its sending side."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class BacklogWait:
     """When how many connections had come, of those that are accepted next."""
 
--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -14,7 +14,7 @@
 
 from aiohttp import web
 
-from pepperhook.server.backlog_wait import BacklogWait, waiting_connections
+from pepperhook.server.backlog_wait import BacklogWait, has_received, waiting_connections
 from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S, Connection
 from pepperhook.server.connection_reports import ConnectionReports
 from pepperhook.server.memory_ledger import CONNECTION_BYTES, MemoryLedger
@@ -148,6 +148,8 @@
 
     def _connect(self, accepted: socket.socket, waited_s: float) -> None:
         accepted.setblocking(False)
+        if waited_s and not has_received(accepted):
+            waited_s = 0.0  # the request is sent later
         # Else Nagle's algorithm could delay a last write until the close.
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connect: Any = partial(Connection, self, waited_s, loop=self.loop, **self.options)
--- a/tests/server/test_backlog_wait.py
+++ b/tests/server/test_backlog_wait.py
@@ -125,6 +125,29 @@
         assert later_ms > 1900
 
 
+async def test_request_that_is_sent_after_its_connection_was_accepted_has_not_waited(monkeypatch):
+    monkeypatch.setattr(client_connections, "MAX_ACCEPTS", 1)
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        connections = balancer.connections
+        connections.loop.remove_reader(connections.listener)
+        _, idle_writer = await balancer.connect()
+        reader, writer = await balancer.connect()
+        await wait_until(lambda: waiting_in(connections) == 2)
+
+        connections._accept()
+        await asyncio.sleep(WAIT_S)
+        connections._accept()
+        writer.write(balancer.make_request(X_Timeout_Ms="2000"))
+
+        assert (await balancer.read_response(reader))[0] == 200
+        assert int(header_value(peer.requests[0][0], b"X-Timeout-Ms")) > 1900
+        idle_writer.close()
+        writer.close()
+
+
 async def test_connection_that_comes_after_a_rest_has_not_waited():
     async with (
         ScriptedPeer(always(make_response())) as peer,
