A balancer that exits at its start in a test shows its log

The entry never_answer of KNOWN-RED.txt could not be traced, as the failure did not show why the process had exited.

--- a/tests/server/balancer_process.py
+++ b/tests/server/balancer_process.py
@@ -23,10 +23,10 @@
 
     async def wait_for_event(self, event):
         """Read the log up to a line with this event."""
-        line = ""
-        while f"event={event}" not in line:
-            line = await asyncio.to_thread(self.process.stderr.readline)
-            assert line, "the process has exited"
+        lines = [""]
+        while f"event={event}" not in lines[-1]:
+            lines.append(await asyncio.to_thread(self.process.stderr.readline))
+            assert lines[-1], f"the process has exited, its log: {lines}"
 
     def signal(self, *numbers):
         """Send signals, one after another."""
