Never refuse a complete request that waits to be served

On a late event loop a good client's request, received as a whole, was answered 503 to make room (or 408 after 2 s), and then forwarded: its client may repeat what ran.

A connection stays among the idle ones until the library's task begins to serve its message, an iteration later. They ask whether it is unfinished now, and leave complete ones alone.

The new test gets 503, and the upstream one request, without the change.

--- a/pepperhook/server/client_connections.py
+++ b/pepperhook/server/client_connections.py
@@ -186,7 +186,7 @@
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.loop.time()
         for handler in [handler for handler in self.idle if handler.expires_at < now]:
-            if handler.is_message_begun:
+            if handler.is_unfinished:
                 self.reject(handler, "408 Request Timeout")
             elif self.close_idle(handler):
                 self.counters.add("connections idle too long")
@@ -291,9 +291,11 @@
         """Retire an idle connection unless it has unread data; return whether it was retired.
 
         ``even_if_begun``: retire it also after a part of a message was received, which is answered
-        with status 503.
+        with status 503. A complete message, which the library is about to serve, is never refused.
         """
-        if handler.has_unread_data() or (handler.is_message_begun and not even_if_begun):
+        is_complete = handler.is_message_begun and not handler.is_unfinished
+        must_stay = is_complete or (handler.is_message_begun and not even_if_begun)
+        if must_stay or handler.has_unread_data():
             return False
         if handler.is_message_begun:
             self.reject(handler, "503 Service Unavailable")
--- a/tests/server/test_shed_messages.py
+++ b/tests/server/test_shed_messages.py
@@ -203,3 +203,27 @@
             gc.enable()
 
         assert not left
+
+
+async def test_complete_request_that_waits_to_be_served_is_not_refused_to_make_room():
+    # It was answered 503 on a late event loop, and forwarded all the same.
+    async with (
+        ScriptedPeer(always(make_response())) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        connections = balancer.connections
+        reader, writer = await balancer.connect()
+        await wait_until(lambda: connections.idle)
+        [connection] = connections.idle
+
+        connection.data_received(balancer.make_request("/pay", b"POST", b"x"))
+        connections.idle[connection] -= 2 * MIN_IDLE_S
+        connections.close_idle_connections(1)
+        connection.expires_at = 0
+        connections._sweep_timer.cancel()
+        connections._sweep()
+
+        status = (await balancer.read_response(reader))[0]
+        assert (status, len(peer.requests)) == (200, 1)
+        writer.close()
+        assert await reader.read() == b""
