--- a/pepperhook/capture/legacy_state.py
+++ b/pepperhook/capture/legacy_state.py
@@ -46,6 +46,7 @@
         "shown_ready_at",
         "service_may_be_down",
         "is_reported_stale",
+        "is_trust_reported",
         "drains_pass_checks",
         "next_check_at",
         "checked",
@@ -348,7 +349,8 @@
         endpoints.good_until = discovery.asked + endpoints.notified_after
         new.drain_check.drains_pass_checks, new.drain_check.checked = False, None
         new.drain_check.next_check_at = old.now
-        endpoints.service_may_be_down = endpoints.is_reported_stale = False
+        endpoints.service_may_be_down = False
+        endpoints.is_reported_stale = endpoints.is_trust_reported = False
         endpoints.backoff = endpoints.make_backoff()
         # 0.2 had at most one timer that opens a watch, and gave it no argument. A timer opens a
         # watch only if its argument is equal to planned_at, so that has to be None as well.
--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -40,7 +40,7 @@
         # Time until which the current list is valid; only answers extend it, open subscriptions apart.
         self.good_until = now + self.notified_after
         self.service_may_be_down = False
-        self.is_reported_stale = False
+        self.is_reported_stale = self.is_trust_reported = False
         self.backoff = self.make_backoff()
         if self.polls:
             # Not delayed where lists are pushed: a change counts as notified as soon as the
@@ -112,13 +112,22 @@
             self.good_until = max(self.good_until, held_until)
 
     def review(self, now: int) -> None:
-        """Report when the list becomes stale or current."""
+        """Report when the list becomes stale or current, and what permits sends while it is stale."""
         is_stale = self.polls and not self.settings.subscribes_to_endpoints and now > self.good_until
+        became_stale = is_stale and not self.is_reported_stale
         if is_stale != self.is_reported_stale:
             self.is_reported_stale = is_stale
-            self.balancer.actions.append(
-                OperatorNote(f"endpoint list is {'stale' if is_stale else 'current'}")
-            )
+            self._report(f"endpoint list is {'stale' if is_stale else 'current'}")
+        is_trusted = is_stale and self._trusts_health_checks()
+        if is_stale and (became_stale or is_trusted != self.is_trust_reported):
+            if is_trusted:
+                self._report("only upstreams that pass health checks get requests")
+            else:
+                self._report("no upstream gets requests until the endpoint list is current")
+        self.is_trust_reported = is_trusted
+
+    def _report(self, text: str) -> None:
+        self.balancer.actions.append(OperatorNote(text))
 
     def is_stale(self, now: int, upstream: Upstream) -> bool:
         """Rule 3: return whether the upstream may be draining or gone without this balancer's knowledge."""
@@ -140,7 +149,10 @@
     def _shown_ready_until(self, upstream: Upstream) -> int:
         # A draining upstream may pass health checks. So they count only while the service may be down, and
         # until one was seen to pass.
-        is_trusted = self.service_may_be_down and not self.balancer.drain_check.drains_pass_checks
-        if is_trusted or self.settings.subscribes_to_endpoints:
+        if self._trusts_health_checks() or self.settings.subscribes_to_endpoints:
             return upstream.shown_ready_at + self.notified_after
         return 0
+
+    def _trusts_health_checks(self) -> bool:
+        is_possible = self.settings.may_health_check and not self.balancer.drain_check.drains_pass_checks
+        return self.service_may_be_down and is_possible
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from pepperhook.actions import HealthCheck, RejectRequest, StartAttempt, WatchEndpoints
+from pepperhook.actions import (
+    HealthCheck,
+    OperatorNote,
+    RejectRequest,
+    StartAttempt,
+    WatchEndpoints,
+)
 from pepperhook.domain import EndpointUpdate, Outcome, PollFailure, Request, UpstreamState
 from pepperhook.policy import endpoints
 from pepperhook.policy.endpoints import FAILED_POLL_FACTOR, NOTIFIED_AFTER, POLL_TIMEOUT
@@ -332,3 +338,43 @@
     allowed = run_while_polls_fail(host, lambda _: Outcome.SERVED, host.now + 20 * SECOND, failure)
 
     assert all(all(row) for row in allowed)
+
+
+# Reports to operators.
+
+
+def notes_of(host):
+    return [action.text for action in host.actions if isinstance(action, OperatorNote)]
+
+
+def test_what_permits_sends_while_the_list_is_stale_is_reported_as_it_changes():
+    host = Host()
+    host.open_confirmed_watch()
+    host.fail_poll(PollFailure.UNREACHABLE)
+    run_while_polls_fail(
+        host, lambda _: Outcome.SERVED, host.now + 10 * SECOND, PollFailure.UNREACHABLE
+    )
+    host.open_watch()
+    host.fail_poll(PollFailure.SILENT)
+    host.advance(host.now + SECOND // 2)
+    host.call(host.balancer.endpoints_confirmed)
+    host.advance(host.now + SECOND)
+
+    assert notes_of(host) == [
+        "endpoint list is stale",
+        "only upstreams that pass health checks get requests",
+        "no upstream gets requests until the endpoint list is current",
+        "endpoint list is current",
+    ]
+
+
+def test_stale_list_is_reported_with_its_consequence_where_health_checks_are_forbidden():
+    host = Host(may_health_check=False)
+    host.open_confirmed_watch()
+    host.fail_poll()
+    host.advance(host.now + NOTIFIED_AFTER + SECOND)
+
+    assert notes_of(host) == [
+        "endpoint list is stale",
+        "no upstream gets requests until the endpoint list is current",
+    ]
