--- a/tests/server/test_unanswered_watches.py
+++ b/tests/server/test_unanswered_watches.py
@@ -10,7 +10,8 @@
 from tests.programs import write_config
 from tests.server.balancer_process import BalancerProcess
 from tests.server.balancers import ENVIRONMENT, encode_endpoint_list, endpoint_rows
-from tests.server.peers import ScriptedPeer, make_response, request_target
+from tests.server.failing_discovery import Upstream
+from tests.server.peers import ScriptedPeer, make_response
 
 # The protocol page: a change counts as notified 6 s after discovery had it; grace and slack after.
 NOTIFIED_AFTER_S = 6.0
@@ -46,21 +47,6 @@
     return None
 
 
-class Upstream(ScriptedPeer):
-    """An upstream that serves all requests, and answers health checks with ``health_status``."""
-
-    def __init__(self, health_status=200):
-        super().__init__(self.serve_request)
-        self.health_status = health_status
-        self.served_at = []
-
-    def serve_request(self, head, _):
-        if request_target(head) == b"/ping":
-            return make_response(self.health_status)
-        self.served_at.append(time.monotonic())
-        return make_response()
-
-
 class OneListService(ScriptedPeer):
     """A service that answers one poll; all later ones end as ``end_poll`` says."""
 
