Let trust in health checks end 6 s after the failed poll that it rests on

Callers saw new work at upstreams that had left the list (rule 3). A failed poll set a flag that let health checks permit sends until the next poll, which came after rounds of up to 24 s, a skipped quarter of a round, and Retry-After. But a failed poll shows that discovery could not be reached as of its beginning only; 6 s later a change counts as notified.

EndpointKnowledge holds what was observed, each with its end: the list as of an answer, and 'could not be reached' as of the beginning of a retry that failed. The round of the next poll is shortened so that it can be answered before both have ended; where it can't be (Retry-After), sends end first. A change of the service (SIGHUP) ends the trust, a poll that stays silent or is held as before. Refused polls come again in rounds of at most 3.9 s, about as often as watches poll, in place of rounds that double: these were longer than the trust.

--- a/pepperhook/capture/legacy_state.py
+++ b/pepperhook/capture/legacy_state.py
@@ -25,6 +25,7 @@
 from pepperhook.endpoint_ring import EndpointRing
 from pepperhook.pipeline import link
 from pepperhook.policy.capacity import SERVICE_TIME_MODEL
+from pepperhook.policy.endpoint_knowledge import EndpointKnowledge
 from pepperhook.policy.endpoints import NOTIFIED_AFTER
 from pepperhook.service_times import ServiceTimes
 from pepperhook.statistics import DecayingMean, DecayingMoments
@@ -39,12 +40,12 @@
 # defaults, so a comparison of the two ignores them.
 MISSING_ATTRIBUTES = frozenset(
     (
-        "good_until",
+        "knowledge",
         "health_check_began_at",
         "is_confirmed",
         "planned_at",
         "shown_ready_at",
-        "service_may_be_down",
+        "watch_began_at",
         "is_reported_stale",
         "is_trust_reported",
         "drains_pass_checks",
@@ -346,10 +347,12 @@
         endpoints.polls = bool(discovery.asks)
         endpoints.is_watching = endpoints.is_confirmed = discovery.watching
         endpoints.notified_after = min(NOTIFIED_AFTER, discovery.within)
-        endpoints.good_until = discovery.asked + endpoints.notified_after
+        endpoints.watch_began_at = discovery.asked
+        endpoints.knowledge = EndpointKnowledge(
+            endpoints.notified_after, discovery.asked + endpoints.notified_after
+        )
         new.drain_check.drains_pass_checks, new.drain_check.checked = False, None
         new.drain_check.next_check_at = old.now
-        endpoints.service_may_be_down = False
         endpoints.is_reported_stale = endpoints.is_trust_reported = False
         endpoints.backoff = endpoints.make_backoff()
         # 0.2 had at most one timer that opens a watch, and gave it no argument. A timer opens a
--- a/pepperhook/capture/state_factory.py
+++ b/pepperhook/capture/state_factory.py
@@ -39,6 +39,7 @@
     "pepperhook.policy.slow_start": {"SlowStart"},
     "pepperhook.policy.subset": {"Subset"},
     "pepperhook.poll_backoff": {"PollBackoff"},
+    "pepperhook.policy.endpoint_knowledge": {"EndpointKnowledge"},
     "pepperhook.service_times": {"ServiceTimeModel", "ServiceTimes"},
     "pepperhook.settings": {"ReportSource", "Settings", "TenantQuota"},
     "pepperhook.statistics": {"DecayingMean", "DecayingMoments"},
--- a/pepperhook/lab/defects.py
+++ b/pepperhook/lab/defects.py
@@ -397,11 +397,31 @@
 
     def poll_failed(self, now, failure, retry_after):
         original(self, now, failure, retry_after)
-        self.good_until = now + endpoints.NOTIFIED_AFTER
+        self.knowledge.extend_list(now + endpoints.NOTIFIED_AFTER)
 
     endpoints.Endpoints.poll_failed = poll_failed
 
 
+def trust_health_checks_without_end():
+    """Let health checks count until the next answer, once a poll has failed."""
+    from pepperhook.policy import endpoint_knowledge
+
+    _replaced = endpoint_knowledge.EndpointKnowledge.record_unreachable
+
+    def record_unreachable(self, at):
+        self.unreachable_until = 2**63
+
+    endpoint_knowledge.EndpointKnowledge.record_unreachable = record_unreachable
+
+
+def never_trust_health_checks():
+    """Send nothing while the endpoint list is stale, whatever health checks show."""
+    from pepperhook.policy import endpoint_knowledge
+
+    _replaced = endpoint_knowledge.EndpointKnowledge.record_unreachable
+    endpoint_knowledge.EndpointKnowledge.record_unreachable = lambda self, at: None
+
+
 def never_treat_state_as_stale():
     """Never treat the state of an upstream as stale, so that draining ones still get requests."""
     from pepperhook.policy import endpoints
@@ -665,6 +685,8 @@
     "probes-unspread": remove_health_check_jitter,
     "list-hasty": poll_again_immediately,
     "polls-in-step": poll_again_in_step,
+    "trust-without-end": trust_health_checks_without_end,
+    "no-trust-in-checks": never_trust_health_checks,
     "stale-by-last-call": count_failed_polls_as_current,
     "drains-held-serving": never_treat_state_as_stale,
     "ends-at-once": exit_immediately,
--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -3,6 +3,7 @@
 from pepperhook.actions import OperatorNote, WatchEndpoints
 from pepperhook.domain import PollFailure, Upstream
 from pepperhook.pipeline import Component
+from pepperhook.policy.endpoint_knowledge import EndpointKnowledge
 from pepperhook.poll_backoff import PollBackoff
 from pepperhook.units import MILLISECOND, SECOND
 
@@ -15,16 +16,18 @@
 START_INTERVAL, MIN_ROUND = 100 * MILLISECOND, SECOND
 # By the settings, a list holds so many times longer after a failed poll than without one.
 FAILED_POLL_FACTOR = 4
-# Maximum length of rounds after failures that put no load on the service.
+# Maximum length of rounds: in an outage a fleet polls as often as its watches do without one.
 LONGEST_ROUNDS = {
     PollFailure.UNREACHABLE: 3 * SECOND,
     PollFailure.INTERRUPTED: 3 * SECOND,
+    PollFailure.REFUSED: NOTIFIED_AFTER - POLL_TIMEOUT,
     PollFailure.HELD: 3 * SECOND,
     PollFailure.SILENT: SECOND,
 }
+SHORTEST_ROUND = 300 * MILLISECOND  # minimum that a round is shortened to, to poll while sends are permitted
 # Failures of a service that may be down. Until it is back, the balancer does not count as notified.
 DOWN_FAILURES = (PollFailure.UNREACHABLE, PollFailure.INTERRUPTED, PollFailure.REFUSED)
-# An outage of some seconds causes two failed polls; more are taken for overload, and rounds double.
+# Rounds double after so many failed polls in a row, so often, unless LONGEST_ROUNDS has their failure.
 STEADY_FAILURES, MAX_DOUBLINGS = 2, 2
 CHECK_LEAD = 2 * SECOND  # health checks begin this long before the endpoint list becomes stale
 
@@ -34,12 +37,11 @@
 
     def _set_up(self, now: int) -> None:
         # planned_at: time of the next watch; is_confirmed: whether the open watch was answered.
-        self.polls, self.planned_at = self.settings.polls_endpoints, now
+        self.polls, self.planned_at, self.watch_began_at = self.settings.polls_endpoints, now, now
         self.is_watching = self.is_confirmed = False
         self.notified_after = min(NOTIFIED_AFTER, self.settings.endpoint_poll_within_ns)
-        # Time until which the current list is valid; only answers extend it, open subscriptions apart.
-        self.good_until = now + self.notified_after
-        self.service_may_be_down = False
+        # Only answers extend the validity of the list, open subscriptions apart.
+        self.knowledge = EndpointKnowledge(self.notified_after, now + self.notified_after)
         self.is_reported_stale = self.is_trust_reported = False
         self.backoff = self.make_backoff()
         if self.polls:
@@ -60,14 +62,15 @@
 
     def _watch(self, now: int, planned_at: int) -> None:
         if planned_at == self.planned_at and not self.is_watching:
-            self.is_watching = True
+            self.is_watching, self.watch_began_at = True, now
             wait = min(MAX_WATCH_WAIT, self.settings.endpoint_poll_within_ns // 2)
             self.balancer.actions.append(WatchEndpoints(wait))
 
     def restart_watch(self, now: int) -> None:
         """Open a watch on another service; a subscription reported all changes up to now."""
         if self.is_confirmed and self.settings.subscribes_to_endpoints:
-            self.good_until = max(self.good_until, now + self.notified_after)
+            self.knowledge.extend_list(now + self.notified_after)
+        self.knowledge.record_running()
         self.is_watching = self.is_confirmed = False
         self.planned_at = now
         self._watch(now, now)
@@ -75,32 +78,53 @@
     def confirm(self, at: int) -> None:
         """Record that the service has answered with the list as it was at time ``at``."""
         self.is_confirmed = self.is_watching
-        self.service_may_be_down = False
-        self.good_until = at + self.notified_after
+        self.knowledge.record_answer(at)
         self.backoff.reset()
 
     def poll_failed(self, now: int, failure: PollFailure, retry_after: int) -> None:
         """Process a failed poll or the end of a watch, and schedule the next watch."""
         if not self.polls:
             return
-        # An outage ends a watch at any time, so how long its last poll took shows nothing.
-        if failure is PollFailure.UNREACHABLE or not self.is_confirmed:
-            self.service_may_be_down = failure in DOWN_FAILURES
+        self._record_failure(failure)
         if failure is not PollFailure.SILENT:
             self._extend_by_subscription(now)
         if failure is PollFailure.UNSPECIFIED:
             self._hold_by_settings()
-        jitter, longest = self.balancer.random(), LONGEST_ROUNDS.get(failure)
-        self.planned_at = self.backoff.next_poll(now + retry_after, *self.settings.position, jitter, longest)
+        earliest, jitter = now + retry_after, self.balancer.random()
+        longest = self._longest_round(earliest, failure)
+        self.planned_at = self.backoff.next_poll(earliest, *self.settings.position, jitter, longest)
         self.balancer.call_at(self.planned_at, self._watch, self.planned_at)
         self.is_watching = self.is_confirmed = False
 
+    def _record_failure(self, failure: PollFailure) -> None:
+        if failure not in DOWN_FAILURES:
+            self.knowledge.record_running()
+        elif not self.is_confirmed:
+            # A watch that was answered ends at any time in an outage: only a new poll that fails shows one.
+            self.knowledge.record_unreachable(self.watch_began_at)
+
+    def _longest_round(self, earliest: int, failure: PollFailure) -> int | None:
+        """Return the longest round after which a poll can be answered while sends are permitted.
+
+        If that is too short, sends end before the next poll.
+        """
+        longest = LONGEST_ROUNDS.get(failure)
+        if longest is None:
+            return None
+        remaining = self.knowledge.valid_until - earliest
+        permitted = self.backoff.longest_round_until(remaining - POLL_TIMEOUT)
+        if self.is_confirmed and remaining > 0:
+            permitted = max(permitted, MIN_ROUND)  # health checks do not count before a retry has failed
+        return min(longest, permitted) if permitted >= SHORTEST_ROUND else longest
+
     def _extend_by_subscription(self, now: int) -> None:
         # A long poll may wait in a queue, in a proxy or at a service that has failed: only its answer shows
         # that the list was current. A host that subscribes is notified of each change and of the end.
-        is_held = self.is_confirmed and now > self.good_until - self.notified_after + POLL_TIMEOUT
+        is_held = (
+            self.is_confirmed and now > self.knowledge.list_valid_until - self.notified_after + POLL_TIMEOUT
+        )
         if is_held and self.settings.subscribes_to_endpoints:
-            self.good_until = now + self.notified_after
+            self.knowledge.extend_list(now + self.notified_after)
 
     def _hold_by_settings(self) -> None:
         """Hold the list for as long as the settings allow after the failed poll, from its beginning.
@@ -109,16 +133,17 @@
         """
         if not self.settings.may_health_check:
             held_until = self.planned_at + FAILED_POLL_FACTOR * self.settings.endpoint_poll_within_ns
-            self.good_until = max(self.good_until, held_until)
+            self.knowledge.extend_list(held_until)
 
     def review(self, now: int) -> None:
         """Report when the list becomes stale or current, and what permits sends while it is stale."""
-        is_stale = self.polls and not self.settings.subscribes_to_endpoints and now > self.good_until
+        subscribes = self.settings.subscribes_to_endpoints
+        is_stale = self.polls and not subscribes and now > self.knowledge.list_valid_until
         became_stale = is_stale and not self.is_reported_stale
         if is_stale != self.is_reported_stale:
             self.is_reported_stale = is_stale
             self._report(f"endpoint list is {'stale' if is_stale else 'current'}")
-        is_trusted = is_stale and self._trusts_health_checks()
+        is_trusted = is_stale and self._trusts_health_checks() and now <= self.knowledge.unreachable_until
         if is_stale and (became_stale or is_trusted != self.is_trust_reported):
             if is_trusted:
                 self._report("only upstreams that pass health checks get requests")
@@ -133,26 +158,23 @@
         """Rule 3: return whether the upstream may be draining or gone without this balancer's knowledge."""
         if not self.polls or self._is_subscribed():
             return False
-        return now > max(self.good_until, self._shown_ready_until(upstream))
+        if self.settings.subscribes_to_endpoints:
+            return now > max(self.knowledge.list_valid_until, upstream.shown_ready_at + self.notified_after)
+        # A draining upstream may pass health checks. So they count only until one was seen to pass.
+        shown_ready_at = upstream.shown_ready_at if self._trusts_health_checks() else 0
+        return now > self.knowledge.permits_until(shown_ready_at)
 
     def needs_health_check(self, now: int, upstream: Upstream) -> bool:
         """Return whether sending to the upstream may soon require that it has passed a health check."""
         if not self.polls or self._is_subscribed() or self.balancer.drain_check.drains_pass_checks:
             return False
-        return now + CHECK_LEAD > max(self.good_until, upstream.shown_ready_at + self.notified_after)
+        shown_ready_until = upstream.shown_ready_at + self.notified_after
+        return now + CHECK_LEAD > max(self.knowledge.list_valid_until, shown_ready_until)
 
     def _is_subscribed(self) -> bool:
         # After failed calls only once the subscription is confirmed: confirm() resets failed_polls.
         is_open = self.is_watching and not self.backoff.failed_polls
         return is_open and self.settings.subscribes_to_endpoints
 
-    def _shown_ready_until(self, upstream: Upstream) -> int:
-        # A draining upstream may pass health checks. So they count only while the service may be down, and
-        # until one was seen to pass.
-        if self._trusts_health_checks() or self.settings.subscribes_to_endpoints:
-            return upstream.shown_ready_at + self.notified_after
-        return 0
-
     def _trusts_health_checks(self) -> bool:
-        is_possible = self.settings.may_health_check and not self.balancer.drain_check.drains_pass_checks
-        return self.service_may_be_down and is_possible
+        return self.settings.may_health_check and not self.balancer.drain_check.drains_pass_checks
--- a/pepperhook/poll_backoff.py
+++ b/pepperhook/poll_backoff.py
@@ -32,6 +32,11 @@
         """Record that a poll was answered."""
         self.failed_polls = 0
 
+    def longest_round_until(self, wait_ns: int) -> int:
+        """Return the longest round after which the next poll is due within ``wait_ns``."""
+        # After a failed retry, a quarter of the round is skipped.
+        return wait_ns * 4 // 5 if self.failed_polls else wait_ns
+
     def next_poll(
         self, now: int, fleet_size: int, index: int, jitter: float, max_round_ns: int | None = None
     ) -> int:
