--- a/pepperhook/lab/defects.py
+++ b/pepperhook/lab/defects.py
@@ -403,11 +403,13 @@
 
 
 def trust_health_checks_without_end():
-    """Let health checks count until the next answer, once a poll has failed."""
-    from pepperhook.policy import endpoint_knowledge
+    """Let health checks count until the next answer, and double the pauses between polls."""
+    from pepperhook.policy import endpoint_knowledge, endpoints
 
     _replaced = endpoint_knowledge.EndpointKnowledge.record_unreachable
 
+    endpoints.LONGEST_ROUNDS = {}
+
     def record_unreachable(self, at):
         self.unreachable_until = 2**63
 
--- a/pepperhook/lab/endpoint_audit.py
+++ b/pepperhook/lab/endpoint_audit.py
@@ -21,6 +21,7 @@
 OVERLOADED_STATUS = 503
 
 ProcessId = tuple[int, int]  # tier and number of a balancer or an upstream
+Span = tuple[int, int]  # begin and end
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +54,7 @@
         self.changes: dict[ProcessId, list[Change]] = defaultdict(list)
         # Spans in which the service confirmed a balancer's list, by balancer: while it held a
         # watch, or at the moment of an answer.
-        self.confirmed_spans: dict[ProcessId, list[tuple[int, int]]] = defaultdict(list)
+        self.confirmed_spans: dict[ProcessId, list[Span]] = defaultdict(list)
         rows = list(rows)
         self.stalls = Stalls(rows)
         for row in rows:
@@ -79,12 +80,12 @@
                 self.changes[row.tier, row.process_number].append(change)
 
     def late_sends(
-        self, reachable_from: int, notified_after_ns: int, grace_ns: int
+        self, unreachable: Sequence[Span], notified_after_ns: int, grace_ns: int
     ) -> list[LateSend]:
         """Return the attempts that reached upstreams too late after these stopped being ready.
 
         This is rule 3. A balancer is assumed to know a change ``notified_after_ns`` after the
-        service has it and can be reached (from ``reachable_from`` on). The drain grace of
+        service has it and can be reached, outside of the spans ``unreachable``. The drain grace of
         ``grace_ns`` begins then.
         """
         late = []
@@ -92,7 +93,7 @@
             change = self._latest_change(work)
             if change is None or change.state == READY:
                 continue
-            allowed_until = max(change.at, reachable_from) + notified_after_ns + grace_ns
+            allowed_until = reachable_at(change.at, unreachable) + notified_after_ns + grace_ns
             arrived_at = self.stalls.earliest_arrival(
                 upstream_process_name(work.tier), work.first_byte_at
             )
@@ -144,7 +145,7 @@
                 first_at[poll.caller] = min(poll.at, first_at.get(poll.caller, poll.at))
         return {caller: at for caller, at in first_at.items() if caller < balancers}
 
-    def count_refused_polls(self, spans: Sequence[tuple[int, int]]) -> tuple[int, int]:
+    def count_refused_polls(self, spans: Sequence[Span]) -> tuple[int, int]:
         """Return two counts: polls and watches that ended within the spans, and those with 503.
 
         Polls that did not reach the service are left out.
@@ -157,6 +158,14 @@
         return len(polls), sum(poll.status == OVERLOADED_STATUS for poll in polls)
 
 
+def reachable_at(at: int, unreachable: Iterable[Span]) -> int:
+    """Return the first time from ``at`` on that is in none of the spans."""
+    for begin, end in sorted(unreachable):
+        if begin <= at < end:
+            at = end
+    return at
+
+
 def quantile(ordered: Sequence[int], fraction: float) -> int:
     """Return the value below which ``fraction`` of the values lie; 0 where there are none."""
     return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] if ordered else 0
--- a/pepperhook/lab/experiment.py
+++ b/pepperhook/lab/experiment.py
@@ -118,6 +118,8 @@
     )
     # For requests of this service class, upstreams call the first tier: a routing loop.
     loop_service_class: str | None = msgspec.field(name="circle", default=None)
+    # Whether a draining upstream passes health checks.
+    passes_checks_while_draining: bool = msgspec.field(name="drains_pass_checks", default=False)
     # Put relays between it and its callers, which network faults need.
     has_relays: bool = msgspec.field(name="network", default=False)
 
--- a/pepperhook/lab/proofs/__init__.py
+++ b/pepperhook/lab/proofs/__init__.py
@@ -5,6 +5,7 @@
 from pepperhook.lab.proofs.chain import ChainProof
 from pepperhook.lab.proofs.control import ControlProof
 from pepperhook.lab.proofs.customers import NoisyTenantProof
+from pepperhook.lab.proofs.discovery_faults import DiscoveryFaultsProof
 from pepperhook.lab.proofs.discovery_overload import DiscoveryOverloadProof
 from pepperhook.lab.proofs.h2 import H2Proof
 from pepperhook.lab.proofs.mass import MassProof
@@ -28,5 +29,6 @@
         ControlProof,
         MembershipProof,
         DiscoveryOverloadProof,
+        DiscoveryFaultsProof,
     )
 }
--- a/pepperhook/lab/proofs/discovery_overload.py
+++ b/pepperhook/lab/proofs/discovery_overload.py
@@ -116,7 +116,7 @@
         self.calls_per_s = scenario.discovery.calls_per_s or 0.0
         grace_us = int(scenario.safety["drainGraceUs"])
         self.late_sends = audit.late_sends(
-            self.reachable_from,
+            [(self.outage_at, self.reachable_from)],
             endpoints.NOTIFIED_AFTER,
             grace_us * NS_PER_US + LIST_READ_TOLERANCE_NS,
         )
--- a/pepperhook/lab/soak/draw.py
+++ b/pepperhook/lab/soak/draw.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from pepperhook.lab.experiment import (
     Clients,
@@ -30,7 +31,7 @@
 SIGNAL_AFTER_START_MS = (400.0, 1200.0)
 SECOND_TIER_PROBABILITY = 0.3
 INVALID_FILE_PROBABILITY = 0.5
-ODD_ROWS_PROBABILITY = 0.5
+ODD_ROWS_PROBABILITY = DRAINS_PASS_CHECKS_PROBABILITY = LONG_DISCOVERY_FAILURE_PROBABILITY = 0.5
 # Kinds of faults (``Fault.type``) with the range of their size, whose unit depends on the kind;
 # None: the fault has no size.
 FAULTS: dict[str, tuple[float, float] | None] = {
@@ -109,7 +110,10 @@
     ``defect`` names a defect of ``pepperhook.lab.defects`` to inject into the balancers.
     """
     rng = random.Random(f"soak {seed}")
-    tiers = _draw_tiers(rng)
+    tiers = [
+        replace(tier, passes_checks_while_draining=_drains_pass_checks(seed))
+        for tier in _draw_tiers(rng)
+    ]
     experiment = Experiment(
         version=1,
         name=f"soak-{seed}",
@@ -127,7 +131,7 @@
         ),
         front=Front(notice_s=FRONT_NOTICE_S),
         discovery=Discovery(adds_unknown_state=_adds_unknown_state(seed)),
-        faults=_draw_faults(rng, seconds, len(tiers)),
+        faults=_draw_faults(rng, seconds, len(tiers)) + _draw_discovery_failure(seed, seconds),
     )
     balancers = tiers[0].balancers
     has_crowd = rng.random() < CROWD_PROBABILITY
@@ -152,6 +156,38 @@
     return random.Random(f"soak {seed} odd rows").random() < ODD_ROWS_PROBABILITY
 
 
+def _drains_pass_checks(seed: int) -> bool:
+    """Return whether draining upstreams pass health checks; by a generator of its own, as above."""
+    return random.Random(f"soak {seed} checks").random() < DRAINS_PASS_CHECKS_PROBABILITY
+
+
+def _draw_discovery_failure(seed: int, seconds: float) -> list[Fault]:
+    """Return a long failure of discovery, in which an upstream begins to drain, or none.
+
+    By a generator of its own, as above.
+    """
+    rng = random.Random(f"soak {seed} discovery")
+    if rng.random() >= LONG_DISCOVERY_FAILURE_PROBABILITY:
+        return []
+    duration_s = round(rng.uniform(seconds / 6, seconds / 2), 2)
+    start_s = round(rng.uniform(FIRST_FAULT_AFTER_S, seconds / 5), 2)
+    drained_at = round(start_s + rng.uniform(0.0, duration_s), 2)
+    return [
+        Fault(
+            type=rng.choice(("discovery_outage", "discovery_refused")),
+            start_s=start_s,
+            duration_s=duration_s,
+        ),
+        Fault(
+            type="drain",
+            start_s=drained_at,
+            duration_s=seconds,
+            target_numbers=[rng.randrange(2)],
+            size=seconds,  # it serves on
+        ),
+    ]
+
+
 def _draw_tiers(rng: random.Random) -> list[Tier]:
     def machine() -> Spec:
         return Spec(cores=rng.choice((1.0, 2.0, 4.0)), idle_close_s=IDLE_CLOSE_S)
--- a/pepperhook/lab/soak/judge.py
+++ b/pepperhook/lab/soak/judge.py
@@ -7,9 +7,12 @@
 
 from msgspec import Struct
 
-from pepperhook.lab.audit import STAMPED_LATE
+from pepperhook.lab import events
+from pepperhook.lab.audit import LIST_READ_TOLERANCE_NS, STAMPED_LATE
+from pepperhook.lab.endpoint_audit import SECOND, EndpointAudit
 from pepperhook.lab.soak.play import Problem, SoakScenarioRun
 from pepperhook.lab.soak.resources import Resources
+from pepperhook.policy.endpoints import NOTIFIED_AFTER
 from pepperhook.server.app import SocketBudget
 
 # Allowed growth of a count: one poll of the endpoint list may be ending while the next begins.
@@ -20,6 +23,8 @@
 CONNECTION_KB = 160  # of a client connection that soak clients use
 RELOAD_EVENT = re.compile(r"event=reload(?:ed|_refused) .*")
 LAST_RELOAD_MARK = "wait_for_a_restart=sockets"  # in the log line of the last config file
+UNREACHABLE_FAULTS = ("discovery_outage", "discovery_refused")
+DRAIN_GRACE_US, NS_PER_US = 300_000, 1000
 FAULT_EVENT = re.compile(r"event=(module_fault|background_fault|h2_fault|dispatch_fault)\b.*")
 
 
@@ -46,6 +51,7 @@
         *_resource_problems(scenario_run),
         *_logged_faults(scenario_run),
         *_lost_sighups(scenario_run),
+        *_late_sends(scenario_run, result["start"]),
     ]:
         problems.setdefault(name, []).append(example)
     void = ""
@@ -83,6 +89,26 @@
     }
 
 
+def _late_sends(scenario_run: SoakScenarioRun, start: int) -> Iterable[Problem]:
+    """Yield a problem for each attempt that came after a change counted as notified.
+
+    The audit's own check of rule 3 goes by the lists that were sent to a balancer.
+    """
+    scenario = scenario_run.run.experiment
+    unreachable = [
+        (start + int(fault.start_s * SECOND), start + int(end_s * SECOND))
+        for fault in scenario.faults
+        if fault.type in UNREACHABLE_FAULTS
+        for end_s in [fault.start_s + fault.duration_s]
+    ]
+    grace_us = int(scenario.safety.get("drainGraceUs", DRAIN_GRACE_US))
+    grace_ns = grace_us * NS_PER_US + LIST_READ_TOLERANCE_NS
+    audit = EndpointAudit(events.read(scenario_run.folder))
+    for send in audit.late_sends(unreachable, NOTIFIED_AFTER, grace_ns):
+        example = f"{send.request} at {send.upstream}: {send.late_ns / SECOND:.2f} s late"
+        yield "rule 3: sent after a change counted as notified", example
+
+
 def _resource_problems(scenario_run: SoakScenarioRun) -> Iterable[Problem]:
     # After a restart, ``before`` was measured on the previous process. The figures are comparable,
     # as all processes of a balancer start in the same way.
--- a/pepperhook/lab/upstream.py
+++ b/pepperhook/lab/upstream.py
@@ -147,7 +147,7 @@
         self.spec = tier_state.scenario.tiers[tier_state.tier].machine
         self.machine, self.connections, self.servers = None, set(), []
         self.down, self.unready, self.draining = True, False, False
-        self.fails_checks = False  # health checks fail: true from the start of a drain
+        self.fails_checks = False  # true from the start of a drain, unless the tier passes checks
         self.active_faults = {}  # active faults by kind
         self.timer, self.pool, self.fillers, self.malformed_count = None, None, [], 0
         self.calls, self.first_context_header = set(), None
@@ -598,7 +598,8 @@
             await self.start(cold=True)
         else:
             # Balancers learn of a drain with a delay, so requests are served for the grace period.
-            self.fails_checks = transition is not Transition.SERVE
+            passes_checks = self.scenario.tiers[self.tier].passes_checks_while_draining
+            self.fails_checks = transition is not Transition.SERVE and not passes_checks
             self.draining = transition is Transition.REJECT
 
     def refuse_connections(self):
--- a/tests/lab/test_discovery_overload.py
+++ b/tests/lab/test_discovery_overload.py
@@ -40,8 +40,8 @@
 # The audit.
 
 
-def late_sends(*rows, reachable_from=0):
-    return EndpointAudit(rows).late_sends(reachable_from, endpoints.NOTIFIED_AFTER, GRACE)
+def late_sends(*rows, unreachable=()):
+    return EndpointAudit(rows).late_sends(unreachable, endpoints.NOTIFIED_AFTER, GRACE)
 
 
 @pytest.mark.parametrize("state", ["draining", "gone"])
@@ -54,7 +54,9 @@
 
 def test_a_send_is_not_late_if_the_service_was_unreachable_until_shortly_before():
     rows = state_row("draining", 10 * S), attempt_row(20 * S)
-    assert late_sends(*rows) and not late_sends(*rows, reachable_from=18 * S)
+    assert late_sends(*rows) and not late_sends(*rows, unreachable=[(9 * S, 18 * S)])
+    assert late_sends(*rows, unreachable=[(11 * S, 18 * S)]), "it was reachable when it changed"
+    assert not late_sends(*rows, unreachable=[(14 * S, 18 * S), (9 * S, 14 * S)])
 
 
 def test_sends_to_an_upstream_that_is_ready_again_or_to_another_one_are_not_late():
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from pepperhook.lab import defects, experiment
+from pepperhook.lab import defects, events, experiment
 from pepperhook.lab.audit import STAMPED_LATE
 from pepperhook.lab.soak import judge, run
 from pepperhook.lab.soak.draw import MAX_FAULTS, MIN_FAULTS, draw
@@ -19,6 +19,15 @@
 SEEDS = range(200)
 AT_START = Resources(descriptors=12, connections=1, memory_mb=50.0, tasks=3, under_way=0, waiting=0)
 SOCKETS = 256
+S = 10**9
+RUN_START = 100 * S
+LONG_FAILURE_SEED = next(
+    seed
+    for seed in SEEDS
+    if any(
+        fault.type == "drain" and fault.size == 30.0 for fault in draw(seed, 30.0).experiment.faults
+    )
+)
 
 
 def usage_with(**values):
@@ -39,7 +48,9 @@
 
     for soak_run in runs:
         experiment.check(soak_run.experiment)
-        assert MIN_FAULTS <= len(soak_run.experiment.faults) <= MAX_FAULTS
+        faults = soak_run.experiment.faults
+        long_failure = [fault for fault in faults if fault.type == "drain" and fault.size == 30.0]
+        assert MIN_FAULTS <= len(faults) - 2 * len(long_failure) <= MAX_FAULTS
         assert soak_run.restarts and soak_run.signals
         for series in soak_run.signals:
             sighups = series.names.count("SIGHUP")
@@ -159,16 +170,50 @@
     } <= set(defects.DEFECTS)
 
 
-def test_run_with_too_many_findings_excused_by_stalls_is_void():
+def judge_rows(folder, rows=(), excused=(), run=None):
+    """Return the verdict of a run without findings whose event rows are ``rows``."""
+    folder.mkdir(exist_ok=True)
+    (folder / "discovery.rows").write_bytes(
+        b"".join(msgspec.json.encode(row) + b"\n" for row in rows)
+    )
+    scenario_run = SimpleNamespace(
+        run=run or draw(1, 30.0),
+        problems=[],
+        resources_after={},
+        balancers={},
+        signalled_pids={},
+        folder=folder,
+    )
+    figures = {"tries": 1000}
+    result = {"findings": [], "void": False, "figures": figures, "excused": dict(excused)}
+    return judge.judge(scenario_run, result | {"start": RUN_START})
+
+
+def test_run_with_too_many_findings_excused_by_stalls_is_void(tmp_path):
     def verdict_with(excused):
-        scenario_run = SimpleNamespace(
-            run=draw(1, 30.0), problems=[], resources_after={}, balancers={}, signalled_pids={}
-        )
-        figures = {"tries": 1000}
-        result = {"findings": [], "void": False, "figures": figures, "excused": excused}
-        return judge.judge(scenario_run, result)
+        return judge_rows(tmp_path, excused=excused)
 
     few, many = verdict_with({STAMPED_LATE: 3}), verdict_with({STAMPED_LATE: 4})
 
     assert few.holds and not few.void and few.excused == {STAMPED_LATE: 3}
     assert "excused too often" in many.void
+
+
+def test_attempt_long_after_a_drain_is_a_problem_though_no_list_told_of_it(tmp_path):
+    # The audit of rule 3 goes by the lists that were sent, so it did not see trust without an end.
+    soak_run = draw(LONG_FAILURE_SEED, 30.0)
+    failures = [
+        fault for fault in soak_run.experiment.faults if fault.type in judge.UNREACHABLE_FAULTS
+    ]
+    drained_at = RUN_START + int(failures[-1].start_s * S) + 1
+    returned_at = RUN_START + int(max(f.start_s + f.duration_s for f in failures) * S)
+
+    def problems_of(sent_at):
+        drain = events.StateChange(drained_at, "listed draining", 0, 0)
+        work = events.UpstreamWork(0, 0, 0, "a", 0, *[sent_at] * 3, "served", sent_at, 0, "n")
+        return judge_rows(tmp_path, [drain, work], run=soak_run).problems
+
+    assert not problems_of(returned_at + 6 * S)
+    assert list(problems_of(returned_at + 7 * S)) == [
+        "rule 3: sent after a change counted as notified"
+    ]
