Back off from a discovery service that was slow before it refused polls

A service whose last answer took over 0.5 s longer than the poll waited runs, and is overloaded. Its refusals, for 15 s after that answer, are PollFailure.OVERLOADED: rounds grow up to 24 s as they did before, and health checks do not count, as the service can be reached.

Cost: in such an overload, and in an outage that begins so, service ends 6 s after the last answer.

--- a/pepperhook/domain.py
+++ b/pepperhook/domain.py
@@ -79,6 +79,9 @@
     REFUSED = "refused"  # the response was not an endpoint list
     # As INTERRUPTED or REFUSED, but after longer than a poll is queued. So the service is running.
     HELD = "held"
+    # As REFUSED, but by a service whose last answers were slow. So it is running, and has too many
+    # polls.
+    OVERLOADED = "overloaded"
     SILENT = "silent"  # no response within the timeout
     # The host reports no reason. Then the settings alone say for how long the list holds.
     UNSPECIFIED = "unspecified"
--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -42,6 +42,10 @@
 # A service that is down or overloaded fails a poll within two seconds. One that keeps it for longer
 # is running. 0.2 s for the transit.
 MAX_QUEUE_TIME_NS = 2200 * 10**6
+# A service that answers a poll later than this, longer than the poll waits for a change, has too
+# many polls. That counts for as long as it takes to work through them after an outage.
+SLOW_ANSWER_NS = 500 * 10**6
+SLOW_ANSWER_VALID_NS = 15 * 10**9
 # The first poll of a watch is to be answered at once, as the list may be about to become stale.
 FIRST_WAIT_MS = 1
 EARLY_RESPONSE_S = 0.05  # a response without changes within this time is followed by a pause
@@ -86,6 +90,7 @@
         self.ready = False  # whether a list was ever applied
         self.wait_s = 0.0  # how long a poll of the watch waits for a change
         self.answer_age_ns = 0  # how old the list may have been when the last answer arrived
+        self.slow_answer_at: int | None = None  # if the last answer whose delay is known was slow
         self.closing: set[asyncio.Task[None]] = set()
         self.is_closed = False
         self.url: str
@@ -114,7 +119,7 @@
         closing = self.runtime.loop.create_task(old_session.close())
         self.closing.add(closing)
         closing.add_done_callback(self.closing.discard)
-        self.version = None
+        self.version = self.slow_answer_at = None
         self.runtime.call_policy(self.runtime.policy.endpoint_service_moved)
 
     def start_watch(self, wait_ns: int) -> None:
@@ -188,6 +193,7 @@
             update = endpoint_list.parse(body, self.zones, self.kinds)
             duration_ns = self.runtime.now() - started_at
             self.answer_age_ns = _age_of_answer(update, duration_ns, wait_ms * NS_PER_MS)
+            self._note_delay(update, wait_ms)
             self._apply(update, self.answer_age_ns)
         except (PepperhookError, OSError) as error:
             self._poll_failed(error, self.runtime.now() - started_at)
@@ -200,8 +206,21 @@
         )
         return True
 
+    def _note_delay(self, update: EndpointList, wait_ms: int) -> None:
+        """Note whether the service was slow to answer; unknown if it waited until a change."""
+        if wait_ms > FIRST_WAIT_MS and not _is_unchanged(update):
+            return
+        delay_ns = self.answer_age_ns - self.runtime.lateness_ns()
+        self.slow_answer_at = self.runtime.now() if delay_ns > SLOW_ANSWER_NS else None
+
+    def _is_overloaded(self) -> bool:
+        slow_at = self.slow_answer_at
+        return slow_at is not None and self.runtime.now() < slow_at + SLOW_ANSWER_VALID_NS
+
     def _poll_failed(self, error: BaseException, duration_ns: int) -> None:
         failure = _failure(error, duration_ns - self.runtime.lateness_ns())
+        if failure is PollFailure.REFUSED and self._is_overloaded():
+            failure = PollFailure.OVERLOADED
         self.counters.add("list failed")
         self.counters.add(f"list failed {failure}")
         self.log.warning(
@@ -393,8 +412,12 @@
     The service may have sent it at any time since then, and the network or this process have
     delayed it. A service that reports no changes has waited for them for the whole ``wait_ns``.
     """
-    is_unchanged = not (update.is_whole or update.endpoints or update.unreadable)
-    return duration_ns - wait_ns if is_unchanged and duration_ns >= wait_ns else duration_ns
+    waited = _is_unchanged(update) and duration_ns >= wait_ns
+    return duration_ns - wait_ns if waited else duration_ns
+
+
+def _is_unchanged(update: EndpointList) -> bool:
+    return not (update.is_whole or update.endpoints or update.unreadable)
 
 
 def _failure(error: BaseException, duration_ns: int) -> PollFailure:
--- a/tests/policy/discovery_fleet.py
+++ b/tests/policy/discovery_fleet.py
@@ -9,6 +9,7 @@
 from pepperhook.balancer import Balancer
 from pepperhook.domain import EndpointUpdate, Outcome, PollFailure, Upstream, UpstreamState
 from pepperhook.lab.call_queue import CallQueue
+from pepperhook.server.endpoint_discovery import SLOW_ANSWER_NS, SLOW_ANSWER_VALID_NS
 from pepperhook.units import MILLISECOND, SECOND
 from tests.policy.simulation import make_settings
 
@@ -62,6 +63,7 @@
         self.balancer = Balancer(settings, index, START)
         self.leaving, self.staying = self.upstreams = [Upstream(b"a"), Upstream(b"b")]
         self.polled_at = 0
+        self.is_slow = False
         self.version_at = START
         self.current_at = None  # when it knew that the upstream had left
         self.perform(START, self.balancer.wake(START))
@@ -100,6 +102,7 @@
     def answer(self, now, is_unchanged):
         over_at, is_answered = self.fleet.service.call(now)
         if is_answered:
+            self.is_slow = over_at - now > SLOW_ANSWER_NS
             self.fleet.at(over_at, self.receive, now if is_unchanged else self.polled_at)
         else:
             self.fleet.at(over_at, self.fail)
@@ -119,8 +122,10 @@
         self.fleet.at(now, self.poll, self.wait_ns // 2 if is_old else self.wait_ns)
 
     def fail(self, now):
-        failed = self.balancer.endpoint_poll_failed
-        self.perform(now, failed(now, PollFailure.REFUSED, 0))
+        # As the host tells them apart.
+        is_overloaded = self.is_slow and now < self.version_at + SLOW_ANSWER_VALID_NS
+        failure = PollFailure.OVERLOADED if is_overloaded else PollFailure.REFUSED
+        self.perform(now, self.balancer.endpoint_poll_failed(now, failure, 0))
 
     def may_send(self, now, upstream):
         is_stale = self.balancer.endpoints.is_stale(now, upstream)
--- a/tests/policy/test_discovery_fleet.py
+++ b/tests/policy/test_discovery_fleet.py
@@ -8,6 +8,7 @@
 
 OUTAGE_AT = START + 20 * SECOND + SECOND // 7  # at no multiple of a poll's wait
 OBSERVED_AFTER = 8 * SECOND  # the return, longer than the notification time
+LONGEST_ROUND = 24 * SECOND  # of polls that are refused by an overloaded service
 MIN_SERVED_SHARE = 0.95  # of time and balancers in an outage
 # A fleet polls in an outage about as often as its watches do without one.
 MAX_POLL_RATIO = 1.1
@@ -46,3 +47,13 @@
 
     mean, _ = fleet.polls_per_second(OUTAGE_AT + SECOND, returns_at)
     assert mean <= MAX_POLL_RATIO * size * SECOND / MAX_WATCH_WAIT
+
+
+def test_fleet_gets_its_list_from_a_service_with_less_capacity_than_its_watches_need():
+    # Each refused poll came again after 3 s, and the service worked in vain: nobody was answered.
+    changed_at = OUTAGE_AT
+    fleet = DiscoveryFleet(102, Service(calls_per_s=25, changed_at=changed_at))
+    fleet.run(changed_at + LONGEST_ROUND)
+
+    assert fleet.all_current_at() is not None
+    assert fleet.latest_permission() <= changed_at + NOTIFIED_AFTER, "the service can be reached"
--- a/tests/policy/test_endpoint_polls.py
+++ b/tests/policy/test_endpoint_polls.py
@@ -96,6 +96,18 @@
     assert sum(intervals) >= 20 * 2 * SECOND, "in the mean no more often than watches poll"
 
 
+def test_interval_between_polls_of_an_overloaded_service_grows_up_to_a_bound():
+    host = Host()
+    host.open_confirmed_watch()
+    waits = []
+    for _ in range(9):
+        host.fail_poll(PollFailure.OVERLOADED)
+        waits.append(host.open_watch())
+
+    assert min(waits[4:]) >= 6 * SECOND
+    assert max(waits) <= 30 * SECOND + 10 * MILLISECOND
+
+
 def test_next_poll_waits_for_the_retry_after_of_a_refusal():
     host = Host()
     host.open_confirmed_watch()
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -312,7 +312,7 @@
     assert not any(isinstance(action, HealthCheck) for action in actions)
 
 
-@pytest.mark.parametrize("failure", [PollFailure.SILENT, PollFailure.HELD])
+@pytest.mark.parametrize("failure", [PollFailure.SILENT, PollFailure.HELD, PollFailure.OVERLOADED])
 def test_health_checks_do_not_count_while_the_service_runs_but_does_not_answer(failure):
     # A draining upstream that passes health checks got requests for as long as polls failed.
     host = Host()
--- a/tests/server/test_endpoint_discovery.py
+++ b/tests/server/test_endpoint_discovery.py
@@ -331,3 +331,62 @@
         balancer.app.discovery.apply(endpoint_list(2, rows))
         assert len(balancer.ready_upstreams) == 2
         assert balancer.app.discovery.version == 2
+
+
+@pytest.mark.parametrize(
+    "is_slow, failure", [(True, PollFailure.OVERLOADED), (False, PollFailure.REFUSED)]
+)
+async def test_refusal_by_a_service_that_was_slow_to_answer_is_taken_for_overload(
+    is_slow, failure, monkeypatch
+):
+    monkeypatch.setattr(endpoint_discovery, "SLOW_ANSWER_NS", SECOND // 4)
+    calls = PolicyCalls(monkeypatch)
+
+    async def script(head, _):
+        if b"since" in head:
+            return make_response(503)
+        await asyncio.sleep(0.5 * is_slow)
+        return ONE_ENDPOINT
+
+    async with (
+        ScriptedPeer(script) as service,
+        RunningBalancer(discovery=service.address, env=POLLING),
+    ):
+        assert (await calls.failures.get())[0] is failure
+
+
+async def test_wait_for_a_change_does_not_make_a_service_slow(monkeypatch):
+    monkeypatch.setattr(endpoint_discovery, "SLOW_ANSWER_NS", SECOND // 4)
+    calls = PolicyCalls(monkeypatch)
+    waits = []
+
+    async def script(head, _):
+        if b"since" not in head:
+            return ONE_ENDPOINT
+        waits.append(head)
+        if len(waits) > 1:
+            return make_response(503)
+        await asyncio.sleep(0.4)
+        change = endpoint_rows(["127.0.0.1:9", "127.0.0.1:9"])[1:]
+        return make_response(body=encode_endpoint_list(2, change, whole=False))
+
+    async with (
+        ScriptedPeer(script) as service,
+        RunningBalancer(discovery=service.address, env=polling(within_us=1_000_000)),
+    ):
+        assert (await calls.failures.get())[0] is PollFailure.REFUSED
+
+
+async def test_slow_answer_counts_only_for_a_while(monkeypatch):
+    monkeypatch.setattr(endpoint_discovery, "SLOW_ANSWER_NS", 0)
+    monkeypatch.setattr(endpoint_discovery, "SLOW_ANSWER_VALID_NS", 0)
+    calls = PolicyCalls(monkeypatch)
+
+    def script(head, _):
+        return make_response(503) if b"since" in head else ONE_ENDPOINT
+
+    async with (
+        ScriptedPeer(script) as service,
+        RunningBalancer(discovery=service.address, env=POLLING),
+    ):
+        assert (await calls.failures.get())[0] is PollFailure.REFUSED
