--- a/tests/policy/test_discovery_fleet.py
+++ b/tests/policy/test_discovery_fleet.py
@@ -57,3 +57,14 @@
 
     assert fleet.all_current_at() is not None
     assert fleet.latest_permission() <= changed_at + NOTIFIED_AFTER, "the service can be reached"
+
+
+def test_change_in_a_short_return_between_two_outages_ends_the_trust():
+    # A balancer whose slot is not within the return takes the two outages for one.
+    ends_at = OUTAGE_AT + 6 * SECOND
+    again_at = ends_at + SECOND
+    outages = [(OUTAGE_AT, ends_at), (again_at, again_at + 12 * SECOND)]
+    fleet = DiscoveryFleet(102, Service(outages=outages, changed_at=OUTAGE_AT + SECOND))
+    fleet.run(again_at + 20 * SECOND)
+
+    assert fleet.latest_permission() <= ends_at + NOTIFIED_AFTER
--- a/tests/policy/test_endpoints.py
+++ b/tests/policy/test_endpoints.py
@@ -340,6 +340,87 @@
     assert all(all(row) for row in allowed)
 
 
+# Trust in health checks, and its end.
+
+
+def host_with_failed_retry(failure=PollFailure.REFUSED, duration_ns=0, retry_after_ns=0):
+    """Return a host with a stale list, whose last poll failed, and the time when that began."""
+    host = Host()
+    host.open_confirmed_watch()
+    host.fail_poll()
+    host.open_watch()
+    began_at = host.now
+    host.now += duration_ns
+    host.fail_poll(failure, retry_after_ns)
+    return host, began_at
+
+
+def pass_checks(host):
+    for upstream in host.upstreams:
+        upstream.shown_ready_at = host.now
+
+
+@pytest.mark.parametrize("retry_after_s", [0, 20])
+@pytest.mark.parametrize("duration_s", [0, 2])
+def test_trust_in_health_checks_ends_6_s_after_the_beginning_of_the_poll_that_failed(
+    duration_s, retry_after_s
+):
+    # It lasted until the next poll, which growing rounds and Retry-After put off.
+    host, began_at = host_with_failed_retry(
+        duration_ns=duration_s * SECOND, retry_after_ns=retry_after_s * SECOND
+    )
+
+    host.now = began_at + NOTIFIED_AFTER
+    pass_checks(host)
+    assert host.may_send_to_any()
+    host.now += 1
+    assert not host.may_send_to_any()
+
+
+def test_health_check_counts_for_6_s_within_the_trust():
+    host, began_at = host_with_failed_retry()
+    checked_at = began_at - SECOND
+    host.upstreams[0].shown_ready_at = checked_at
+
+    host.now = checked_at + NOTIFIED_AFTER
+    assert host.may_send_to(host.upstreams[0])
+    host.now += 1
+    assert not host.may_send_to(host.upstreams[0])
+
+
+def test_trust_in_health_checks_ends_when_another_service_is_polled():
+    host, began_at = host_with_failed_retry()
+    host.now = began_at + NOTIFIED_AFTER - SECOND
+    pass_checks(host)
+    assert host.may_send_to_any()
+
+    host.call(host.balancer.endpoint_service_moved)
+
+    assert not host.may_send_to_any(), "the failure of the old service shows nothing about it"
+
+
+def test_answer_ends_the_trust_in_health_checks():
+    host, began_at = host_with_failed_retry()
+    host.now = began_at + NOTIFIED_AFTER - SECOND
+    host.call(host.balancer.endpoints_confirmed, NOTIFIED_AFTER)
+    host.now += 1
+    pass_checks(host)
+
+    assert not host.may_send_to_any(), "what the answer confirmed is six seconds old"
+
+
+def test_failure_of_a_watch_that_was_answered_shows_no_outage():
+    host = Host()
+    host.open_confirmed_watch()
+    answered_at = host.now
+    host.now += 5 * SECOND
+    host.fail_poll(PollFailure.UNREACHABLE)
+
+    host.now = answered_at + NOTIFIED_AFTER + 1
+    pass_checks(host)
+    assert not host.may_send_to_any()
+
+
 # Reports to operators.
 
 
