--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -126,7 +126,8 @@
         """Watch for changes until a poll fails; each poll waits up to ``wait_ns`` for one."""
         self.wait_s = wait_ns / NS_PER_S
         if PollKind.WATCH not in self.tasks:
-            self.log.info("list_watch_begins", version=self.version)
+            if self.ready:
+                self.log.info("list_watch_begins", version=self.version)
             self._start(PollKind.WATCH, self._watch())
 
     def start_fetch(self) -> None:
