--- a/tests/programs.py
+++ b/tests/programs.py
@@ -8,6 +8,8 @@
 
 from tests.server.balancers import ENVIRONMENT
 
+RESERVATIONS = []  # sockets that are bound and do not listen
+
 
 def write_config(directory, **replaced):
     """Write a configuration file; return the environment variables that name it."""
@@ -24,10 +26,16 @@
 
 
 def free_port():
-    """Return a port of the loopback interface on which nothing listens."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """Return a port of the loopback interface on which nothing listens.
+
+    It stays reserved until this process ends: the system gives it to nobody who asks for any port.
+    A server that asks for this very port, as all do with SO_REUSEADDR, can listen on it.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(("127.0.0.1", 0))
+    RESERVATIONS.append(reservation)
+    return reservation.getsockname()[1]
 
 
 def start_program(environ, *arguments):
