Poll seldom after many polls that were queued in vain, and model what a host gives up

After 8 polls in a row that were queued and refused (an outage of 25 s causes no more) rounds are 6 s: half the load of the watches; sends end before the next poll.

--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -29,6 +29,9 @@
 RETRY_ROUND, ANSWER_TIME = 3 * SECOND, 2250 * MILLISECOND
 # Failures of a service that may be down. Until it is back, the balancer does not count as notified.
 DOWN_FAILURES = (PollFailure.UNREACHABLE, PollFailure.INTERRUPTED, PollFailure.REFUSED)
+# A poll that is refused after so long was queued, and is a load to a service that runs. After more of them in
+# a row than an outage of 25 s causes, rounds are longer, and sends end before the next poll.
+QUEUED_AFTER, MAX_QUEUED_POLLS, LOAD_ROUND = 1500 * MILLISECOND, 8, 6 * SECOND
 # Rounds double after so many failed polls in a row, so often, unless LONGEST_ROUNDS has their failure.
 STEADY_FAILURES, MAX_DOUBLINGS = 2, 2
 CHECK_LEAD = 2 * SECOND  # health checks begin this long before the endpoint list becomes stale
@@ -112,6 +115,8 @@
         longest = LONGEST_ROUNDS.get(failure)
         if longest is None:
             return self.backoff.next_poll(now + retry_after, *position, jitter)
+        if self._is_load(now, failure):
+            return self.backoff.next_poll(now + retry_after, *position, jitter, LOAD_ROUND)
         remaining = self.knowledge.valid_until - now - retry_after
         if remaining <= 0:
             return self.backoff.next_poll(now + retry_after, *position, jitter, longest)
@@ -124,6 +129,11 @@
             earliest = max(earliest, self.watch_began_at + longest // 2)
         return self.backoff.next_poll(earliest, *position, jitter, longest, latest)
 
+    def _is_load(self, now: int, failure: PollFailure) -> bool:
+        was_queued = not self.is_confirmed and now - self.watch_began_at >= QUEUED_AFTER
+        is_long = self.backoff.failed_polls > MAX_QUEUED_POLLS
+        return failure is PollFailure.REFUSED and was_queued and is_long
+
     def _extend_by_subscription(self, now: int) -> None:
         # A long poll may wait in a queue, in a proxy or at a service that has failed: only its answer shows
         # that the list was current. A host that subscribes is notified of each change and of the end.
--- a/tests/policy/discovery_fleet.py
+++ b/tests/policy/discovery_fleet.py
@@ -9,13 +9,18 @@
 from pepperhook.balancer import Balancer
 from pepperhook.domain import EndpointUpdate, Outcome, PollFailure, Upstream, UpstreamState
 from pepperhook.lab.call_queue import CallQueue
-from pepperhook.server.endpoint_discovery import SLOW_ANSWER_NS, SLOW_ANSWER_VALID_NS
+from pepperhook.server.endpoint_discovery import (
+    SLOW_ANSWER_NS,
+    SLOW_ANSWER_VALID_NS,
+    WATCH_MARGIN_S,
+)
 from pepperhook.units import MILLISECOND, SECOND
 from tests.policy.simulation import make_settings
 
 START = 9 * SECOND
 STEP_NS = 20 * MILLISECOND
 TRANSIT_NS = MILLISECOND
+WATCH_MARGIN_NS = int(WATCH_MARGIN_S * SECOND)
 QUEUE_TIMEOUT_S = 2.0
 
 
@@ -63,7 +68,7 @@
         self.balancer = Balancer(settings, index, START)
         self.leaving, self.staying = self.upstreams = [Upstream(b"a"), Upstream(b"b")]
         self.polled_at = 0
-        self.is_slow = False
+        self.slow_at = None
         self.version_at = START
         self.current_at = None  # when it knew that the upstream had left
         self.perform(START, self.balancer.wake(START))
@@ -85,12 +90,12 @@
 
     def poll(self, now, wait_ns):
         """Poll the service, which waits up to ``wait_ns`` for a change."""
-        self.polled_at = now
+        self.polled_at, self.wait_of_poll_ns = now, wait_ns
         service = self.fleet.service
         service.polls[now // SECOND] += 1
         if service.is_down(now):
             over_at, _ = service.call(now)
-            self.fleet.at(over_at, self.fail)
+            self.fleet.at(over_at, self.fail, PollFailure.REFUSED)
         elif wait_ns and not self.version_at < service.changed_at <= now:
             changes = [at for at in (service.changed_at,) if now < at < now + wait_ns]
             breaks = [begin for begin, _ in service.outages if now < begin < now + wait_ns]
@@ -101,13 +106,19 @@
 
     def answer(self, now, is_unchanged):
         over_at, is_answered = self.fleet.service.call(now)
-        if is_answered:
-            self.is_slow = over_at - now > SLOW_ANSWER_NS
-            self.fleet.at(over_at, self.receive, now if is_unchanged else self.polled_at)
+        given_up_at = self.polled_at + self.wait_of_poll_ns + WATCH_MARGIN_NS
+        if self.wait_of_poll_ns and over_at > given_up_at:
+            self.fleet.at(given_up_at, self.fail, PollFailure.SILENT)
+        elif not is_answered:
+            self.fleet.at(over_at, self.fail, PollFailure.REFUSED)
+        elif is_unchanged or not self.wait_of_poll_ns:
+            self.fleet.at(over_at, self.receive, now, over_at - now)
         else:
-            self.fleet.at(over_at, self.fail)
+            # How much of the time was spent waiting for the change is not known.
+            self.fleet.at(over_at, self.receive, self.polled_at, 0)
 
-    def receive(self, now, as_of):
+    def receive(self, now, as_of, delay_ns):
+        self.slow_at = now if delay_ns > SLOW_ANSWER_NS else None
         service, rows = self.fleet.service, []
         if self.version_at < service.changed_at <= now:
             rows = [EndpointUpdate(self.leaving, UpstreamState.GONE, 0)]
@@ -121,10 +132,11 @@
         is_old = age_ns > self.wait_ns // 2
         self.fleet.at(now, self.poll, self.wait_ns // 2 if is_old else self.wait_ns)
 
-    def fail(self, now):
+    def fail(self, now, failure):
         # As the host tells them apart.
-        is_overloaded = self.is_slow and now < self.version_at + SLOW_ANSWER_VALID_NS
-        failure = PollFailure.OVERLOADED if is_overloaded else PollFailure.REFUSED
+        is_slow = self.slow_at is not None and now < self.slow_at + SLOW_ANSWER_VALID_NS
+        if is_slow and failure is PollFailure.REFUSED:
+            failure = PollFailure.OVERLOADED
         self.perform(now, self.balancer.endpoint_poll_failed(now, failure, 0))
 
     def may_send(self, now, upstream):
--- a/tests/policy/test_endpoint_polls.py
+++ b/tests/policy/test_endpoint_polls.py
@@ -81,11 +81,22 @@
     host.fail_poll()
     host.open_watch()
 
-    intervals = time_failed_polls(host, 12, duration_s * SECOND)
+    intervals = time_failed_polls(host, endpoints.MAX_QUEUED_POLLS - 1, duration_s * SECOND)
 
     assert max(intervals) <= NOTIFIED_AFTER - POLL_TIMEOUT + 10 * MILLISECOND
 
 
+def test_interval_between_polls_that_are_refused_in_a_queue_grows_to_the_length_of_the_trust():
+    # A service that is too slow for its callers works on each of these polls in vain.
+    host = Host(index=67, fleet_size=102)
+    host.open_confirmed_watch()
+
+    intervals = time_failed_polls(host, 20, 2 * SECOND)
+
+    assert min(intervals[endpoints.MAX_QUEUED_POLLS + 1 :]) >= 5 * SECOND
+    assert max(intervals) <= 2 * SECOND + 1.25 * endpoints.LOAD_ROUND + 10 * MILLISECOND
+
+
 def test_interval_between_polls_that_are_refused_at_once_does_not_grow():
     host = Host(index=67, fleet_size=102)
     host.open_confirmed_watch()
