Open at most two connections for one poll of the endpoint list

A discovery service that accepts connections and closes them at once, as one that is going down or coming up, got up to 20 connections a poll: each new one was taken for a stale one of the pool. A poll now tries one idle connection and one new one; then it has failed.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -36,6 +36,7 @@
 MS_PER_S = 1000
 MAX_LIST_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 4
+MAX_CONNECTIONS_PER_POLL = 2  # one that was idle and has been closed, and a new one
 WATCH_MARGIN_S = 0.5  # that a response may take beyond the requested wait
 FETCH_TIMEOUT_S = 2.5  # the service drops polls that it could not answer in two seconds
 CONNECT_TIMEOUT_S = 1.5
@@ -190,7 +191,9 @@
             query = {"since": str(self.version), "timeout_ms": str(wait_ms)}
         started_at = self.runtime.now()
         try:
-            body = await http1_client.retry_stale_connections(lambda: self._request(query, wait_ms))
+            body = await http1_client.retry_stale_connections(
+                lambda: self._request(query, wait_ms), MAX_CONNECTIONS_PER_POLL
+            )
             update = endpoint_list.parse(body, self.zones, self.kinds)
             duration_ns = self.runtime.now() - started_at
             self.answer_age_ns = _age_of_answer(update, duration_ns, wait_ms * NS_PER_MS)
--- a/pepperhook/server/http1_client.py
+++ b/pepperhook/server/http1_client.py
@@ -266,14 +266,19 @@
         raise ConnectionLostError(str(error)) from error
 
 
-async def retry_stale_connections(exchange: Callable[[], Awaitable[Result]]) -> Result:
-    """Run ``exchange`` until its connection is not stale; nothing is sent on stale ones."""
-    for _ in range(MAX_STALE_CONNECTIONS):
+async def retry_stale_connections(
+    exchange: Callable[[], Awaitable[Result]], max_connections: int = MAX_STALE_CONNECTIONS
+) -> Result:
+    """Run ``exchange`` until its connection is not stale, on up to ``max_connections``.
+
+    Nothing is sent on stale ones.
+    """
+    for _ in range(max_connections):
         try:
             return await exchange()
         except StaleConnectionError:
             continue
-    raise StaleConnectionError(f"{MAX_STALE_CONNECTIONS} connections in a row were stale")
+    raise StaleConnectionError(f"{max_connections} connections in a row were stale")
 
 
 def make_session(read_timeout_s: float | None = None, **connections: Any) -> aiohttp.ClientSession:
--- a/tests/server/test_endpoint_watch_failures.py
+++ b/tests/server/test_endpoint_watch_failures.py
@@ -1,5 +1,6 @@
 """A drain is noticed however the watch before it has failed."""
 
+import asyncio
 import json
 
 import pytest
@@ -100,3 +101,21 @@
             assert await balancer.status() == 200
         assert not first.requests
         assert len(second.requests) == 4
+
+
+async def test_poll_connects_at_most_twice_to_a_service_that_closes_all_connections():
+    # Each poll opened up to twenty connections: a fleet buried the service that came back.
+    connections = []
+
+    def close_at_once(_, writer):
+        connections.append(writer)
+        writer.close()
+
+    service = await asyncio.start_server(close_at_once, "127.0.0.1", 0)
+    address = f"127.0.0.1:{service.sockets[0].getsockname()[1]}"
+    async with (
+        service,
+        RunningBalancer(discovery=address, env=polling(within_us=10**9)) as balancer,
+    ):
+        await wait_until(lambda: balancer.app.runtime.counters["list failed"] == 1)
+        assert 1 <= len(connections) <= 2
