Read the answer to a watch of the endpoint list that was given up

What discovery writes counts as notified, also on a watch that was given up half a second after its wait, as a service that is slow still answers it up to 2 s after. The answer went to a closed connection, and new work to upstreams that it told of as draining until the next poll was answered.

The poll is still replaced at the same time, but stays open for 1.6 s more, and its answer is applied unless a later poll was answered.

--- a/pepperhook/server/endpoint_discovery.py
+++ b/pepperhook/server/endpoint_discovery.py
@@ -37,7 +37,8 @@
 MAX_LIST_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 4
 MAX_CONNECTIONS_PER_POLL = 2  # one that was idle and has been closed, and a new one
-WATCH_MARGIN_S = 0.5  # that a response may take beyond the requested wait
+WATCH_MARGIN_S = 0.5  # beyond the requested wait, after which another poll is begun
+LATE_MARGIN_S = 2.1  # beyond the requested wait, in which the service may still write its response
 FETCH_TIMEOUT_S = 2.5  # the service drops polls that it could not answer in two seconds
 CONNECT_TIMEOUT_S = 1.5
 # A service that is down or overloaded fails a poll within two seconds. One that keeps it for longer
@@ -88,6 +89,8 @@
         self.unreadable: dict[str, str] = {}  # name of each upstream with an unreadable row: reason
         self.version: int | None = None
         self.tasks: dict[PollKind, asyncio.Task[None]] = {}
+        self.late_answers: set[asyncio.Task[bytes]] = set()  # of polls that were given up
+        self.answered_from = 0  # when the poll began whose answer was applied last
         self.ready = False  # whether a list was ever applied
         self.wait_s = 0.0  # how long a poll of the watch waits for a change
         self.answer_age_ns = 0  # how old the list may have been when the last answer arrived
@@ -114,7 +117,7 @@
             return  # the process is shutting down and needs no list any more
         old_session = self.session
         self._open(address)  # the only step that can fail comes before any change
-        for task in self.tasks.values():
+        for task in [*self.tasks.values(), *self.late_answers]:
             task.cancel()
         self.tasks.clear()
         closing = self.runtime.loop.create_task(old_session.close())
@@ -191,14 +194,13 @@
             query = {"since": str(self.version), "timeout_ms": str(wait_ms)}
         started_at = self.runtime.now()
         try:
-            body = await http1_client.retry_stale_connections(
-                lambda: self._request(query, wait_ms), MAX_CONNECTIONS_PER_POLL
-            )
+            body = await self._answer_in_time(query, wait_ms, started_at)
             update = endpoint_list.parse(body, self.zones, self.kinds)
             duration_ns = self.runtime.now() - started_at
             self.answer_age_ns = _age_of_answer(update, duration_ns, wait_ms * NS_PER_MS)
             self._note_delay(update, wait_ms)
             self._apply(update, self.answer_age_ns)
+            self.answered_from = started_at
         except (PepperhookError, OSError) as error:
             self._poll_failed(error, self.runtime.now() - started_at)
             return False
@@ -210,6 +212,44 @@
         )
         return True
 
+    async def _answer_in_time(self, query: Query, wait_ms: int, started_at: int) -> bytes:
+        """Return the response to a poll; raise WatchGivenUpError if a watch is silent for too long.
+
+        What the service writes after that counts as notified, too. So it is still read.
+        """
+        request = self.runtime.loop.create_task(
+            http1_client.retry_stale_connections(
+                lambda: self._request(query, wait_ms), MAX_CONNECTIONS_PER_POLL
+            )
+        )
+        try:
+            await asyncio.wait({request}, timeout=_give_up_after_s(query, wait_ms))
+        except asyncio.CancelledError:
+            request.cancel()
+            raise
+        if request.done():
+            return request.result()
+        self.late_answers.add(request)
+        request.add_done_callback(partial(self._late_answer, wait_ms, started_at))
+        raise WatchGivenUpError(f"no answer within {wait_ms} ms and {WATCH_MARGIN_S} s")
+
+    def _late_answer(self, wait_ms: int, started_at: int, request: asyncio.Task[bytes]) -> None:
+        """Apply the answer to a watch that was given up, unless a later poll was answered."""
+        self.late_answers.discard(request)
+        if request.cancelled() or request.exception() is not None or self.is_closed:
+            return
+        if started_at < self.answered_from or self.version is None:
+            return
+        try:
+            update = endpoint_list.parse(request.result(), self.zones, self.kinds)
+            duration_ns = self.runtime.now() - started_at
+            self._apply(update, _age_of_answer(update, duration_ns, wait_ms * NS_PER_MS))
+        except PepperhookError as error:
+            self.log.warning("list_late_answer_unusable", error=str(error))
+            return
+        self.counters.add("list answered late")
+        self.log.debug("list_answered_late", call_ms=duration_ns // NS_PER_MS, version=self.version)
+
     def _note_delay(self, update: EndpointList, wait_ms: int) -> None:
         """Note whether the service was slow to answer; unknown if it waited until a change."""
         if wait_ms > FIRST_WAIT_MS and not _is_unchanged(update):
@@ -239,8 +279,8 @@
         self.runtime.call_policy(policy.endpoint_poll_failed, failure, retry_after_ns)
 
     async def _request(self, query: Query, wait_ms: int) -> bytes:
-        waits = bool(query) and wait_ms > FIRST_WAIT_MS
-        timeout_s = wait_ms / MS_PER_S + WATCH_MARGIN_S if waits else FETCH_TIMEOUT_S
+        waits = _waits_for_change(query, wait_ms)
+        timeout_s = wait_ms / MS_PER_S + LATE_MARGIN_S if waits else FETCH_TIMEOUT_S
         return await http1_client.exchange(
             self.session,
             "GET",
@@ -385,13 +425,17 @@
     async def close(self) -> None:
         """Cancel the polls and close the connections."""
         self.is_closed = True
-        tasks = list(self.tasks.values())
+        tasks = [*self.tasks.values(), *self.late_answers]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, *self.closing, return_exceptions=True)
         await self.session.close()
 
 
+class WatchGivenUpError(PepperhookError, TimeoutError):
+    """The service was silent beyond the wait of a watch."""
+
+
 class ListRefusedError(PepperhookError):
     """The service answered without a list; ``retry_after_ns``: the wait it requests, or 0."""
 
@@ -410,6 +454,17 @@
     return int(min(max(seconds, 0.0), MAX_RETRY_AFTER_S) * NS_PER_S)
 
 
+def _waits_for_change(query: Query, wait_ms: int) -> bool:
+    return bool(query) and wait_ms > FIRST_WAIT_MS
+
+
+def _give_up_after_s(query: Query, wait_ms: int) -> float | None:
+    """Return after how long another poll is begun; None: the poll has a timeout of its own."""
+    if _waits_for_change(query, wait_ms):
+        return wait_ms / MS_PER_S + WATCH_MARGIN_S
+    return None
+
+
 def _age_of_answer(update: EndpointList, duration_ns: int, wait_ns: int) -> int:
     """Return how old a list may be that arrived ``duration_ns`` after its poll was sent.
 
--- a/tests/server/test_endpoint_watch_failures.py
+++ b/tests/server/test_endpoint_watch_failures.py
@@ -119,3 +119,34 @@
     ):
         await wait_until(lambda: balancer.app.runtime.counters["list failed"] == 1)
         assert 1 <= len(connections) <= 2
+
+
+@pytest.mark.usefixtures("short_intervals")
+async def test_answer_to_a_watch_that_was_given_up_is_still_applied():
+    # A change counts as notified when it is written, also on a watch that has been given up.
+    watches = []
+
+    async def script(head, _):
+        if b"since" not in head:
+            return make_response(body=encode_endpoint_list(1, endpoint_rows(addresses)))
+        watches.append(head)
+        if len(watches) > 1:
+            return None
+        await asyncio.sleep(0.5)  # the watch is given up after 0.2 s
+        drain = endpoint_rows(addresses, health="draining")[:1]
+        return make_response(body=encode_endpoint_list(2, drain, whole=False))
+
+    async with (
+        ScriptedPeer(always(make_response())) as draining,
+        ScriptedPeer(always(make_response())) as other,
+        ScriptedPeer(script) as service,
+    ):
+        addresses = [draining.address, other.address]
+        async with RunningBalancer(
+            discovery=service.address, env=WITHOUT_HEALTH_CHECKS
+        ) as balancer:
+            counters = balancer.app.runtime.counters
+            await wait_until(lambda: counters["list failed silent"] >= 1)
+            discovery = balancer.app.discovery
+            await asyncio.wait_for(wait_until(lambda: discovery.version == 2), 5)
+            assert not discovery.known["h0"].is_ready and discovery.known["h1"].is_ready
