--- a/pepperhook/lab/proofs/base.py
+++ b/pepperhook/lab/proofs/base.py
@@ -75,6 +75,7 @@
         """Return the experiment that is played, or the first of several."""
         return experiment.read(ROOT / "proofs" / f"{self.name}.toml")
 
+    last_folder: Path  # with the event rows of the run that was played last
     MAX_PLAYS = 3  # of one run, until one is not void: a void run shows nothing
 
     def play(
@@ -110,7 +111,7 @@
 
         Raises RunError if an injected defect failed itself, which shows nothing about the checks.
         """
-        folder = self.folder / name
+        folder = self.last_folder = self.folder / name
         result = ScenarioRun(
             scenario, variant, self.seed if seed is None else seed, folder, **options
         ).play()
--- a/pepperhook/lab/proofs/discovery_faults.py
+++ b/pepperhook/lab/proofs/discovery_faults.py
@@ -47,24 +47,12 @@
         for failure in failures:
             scenario = failing(evenly_loaded(self.scenario), failure)
             result = self.play(scenario, Variant(name="pepperhook", defect=self.plant), failure)
-            audit = EndpointAudit(events.read(self.folder / self.run_name))
+            audit = EndpointAudit(events.read(self.last_folder))
             checks = FailureChecks(scenario, audit, result)
             figures[failure] = checks.figures()
             problems += [f"{failure}: {problem}" for problem in checks.failed_checks()]
         return not problems, {"wrong": problems, **figures}
 
-    def play_once(
-        self,
-        scenario: Experiment,
-        variant: Variant,
-        name: str,
-        seed: int | None = None,
-        **options: Any,
-    ) -> dict[str, Any]:
-        """Play one run, and remember its name, which is the folder of its event rows."""
-        self.run_name = name
-        return super().play_once(scenario, variant, name, seed, **options)
-
 
 def failing(scenario: Experiment, failure: FaultType) -> Experiment:
     """Return the scenario with another way for discovery to fail."""
--- a/pepperhook/lab/proofs/discovery_overload.py
+++ b/pepperhook/lab/proofs/discovery_overload.py
@@ -46,7 +46,7 @@
         """Play the scenario once and check its result."""
         scenario = evenly_loaded(self.scenario if self.full else reduced(self.scenario))
         result = self.play(scenario, Variant(name="pepperhook", defect=self.plant), "overload")
-        audit = EndpointAudit(events.read(self.folder / self.run_name))
+        audit = EndpointAudit(events.read(self.last_folder))
         checks = OverloadChecks(scenario, audit, result["start"])
         findings = {finding["name"]: finding["count"] for finding in result["findings"]}
         problems = checks.failed_checks(self.full) + sorted(findings)
@@ -60,18 +60,6 @@
             "core_wait_ms": result["core_wait"]["worst_ms"],
         }
 
-    def play_once(
-        self,
-        scenario: Experiment,
-        variant: Variant,
-        name: str,
-        seed: int | None = None,
-        **options: Any,
-    ) -> dict[str, Any]:
-        """Play one run, and remember its name, which is the folder of its event rows."""
-        self.run_name = name
-        return super().play_once(scenario, variant, name, seed, **options)
-
 
 def evenly_loaded(scenario: Experiment) -> Experiment:
     """Return the scenario with the same request rate at each balancer.
