--- a/tests/lab/test_stalls.py
+++ b/tests/lab/test_stalls.py
@@ -104,7 +104,7 @@
     ]
 
     def late_sends(*stalls):
-        return EndpointAudit([*rows, *stalls]).late_sends(0, 100 * MS, 300 * MS)
+        return EndpointAudit([*rows, *stalls]).late_sends((), 100 * MS, 300 * MS)
 
     assert len(late_sends()) == 1
     assert not late_sends(make_stall_row(STAMPED_MS, 600))
