--- a/tests/server/test_endpoint_watch_failures.py
+++ b/tests/server/test_endpoint_watch_failures.py
@@ -103,8 +103,8 @@
         assert len(second.requests) == 4
 
 
-async def test_poll_connects_at_most_twice_to_a_service_that_closes_all_connections():
-    # Each poll opened up to twenty connections: a fleet buried the service that came back.
+async def count_connections_of_a_poll():
+    """Return how often the first poll connects to a service that closes all connections."""
     connections = []
 
     def close_at_once(_, writer):
@@ -113,12 +113,20 @@
 
     service = await asyncio.start_server(close_at_once, "127.0.0.1", 0)
     address = f"127.0.0.1:{service.sockets[0].getsockname()[1]}"
-    async with (
-        service,
-        RunningBalancer(discovery=address, env=polling(within_us=10**9)) as balancer,
-    ):
+    env = polling(within_us=10**9)
+    async with service, RunningBalancer(discovery=address, env=env) as balancer:
         await wait_until(lambda: balancer.app.runtime.counters["list failed"] == 1)
-        assert 1 <= len(connections) <= 2
+        return len(connections)
+
+
+async def test_poll_connects_at_most_twice_to_a_service_that_closes_all_connections():
+    # Each poll opened up to twenty connections: a fleet buried the service that came back.
+    assert 1 <= await count_connections_of_a_poll() <= 2
+
+
+async def test_poll_connects_once_if_no_connection_is_idle():
+    # A new connection that the service closes at once is taken for one that was idle.
+    assert await count_connections_of_a_poll() == 1
 
 
 @pytest.mark.usefixtures("short_intervals")
