--- a/pepperhook/policy/endpoints.py
+++ b/pepperhook/policy/endpoints.py
@@ -113,7 +113,9 @@
         """
         jitter, position = self.balancer.random(), self.settings.position
         longest = LONGEST_ROUNDS.get(failure)
-        if longest is None:
+        # Without upstreams there is nothing to send to, and the poll is for a whole list, which costs more.
+        is_idle = failure is PollFailure.REFUSED and not self.balancer.subset.ring.ready
+        if longest is None or is_idle:
             return self.backoff.next_poll(now + retry_after, *position, jitter)
         if self._is_load(now, failure):
             return self.backoff.next_poll(now + retry_after, *position, jitter, LOAD_ROUND)
--- a/tests/policy/test_endpoint_polls.py
+++ b/tests/policy/test_endpoint_polls.py
@@ -107,6 +107,17 @@
     assert sum(intervals) >= 20 * 2 * SECOND, "in the mean no more often than watches poll"
 
 
+def test_interval_between_refused_polls_of_a_balancer_without_upstreams_grows():
+    # Restarted balancers asked for the whole list every 3 s, and buried the service.
+    host = Host()
+    host.open_confirmed_watch()
+    host.call(host.balancer.endpoints_changed, True, [])
+
+    intervals = time_failed_polls(host, 9, 0)
+
+    assert min(intervals[-2:]) >= 6 * SECOND
+
+
 def test_interval_between_polls_of_an_overloaded_service_grows_up_to_a_bound():
     host = Host()
     host.open_confirmed_watch()
