--- a/review/stand_ins_2/h2_client.py
+++ b/review/stand_ins_2/h2_client.py
@@ -14,6 +14,7 @@
 CANCEL = 0x8
 FRAME_HEADER = 9
 REFUSED_STREAM = 0x7
+MAX_CONCURRENT_STREAMS = 0x3  # of SETTINGS
 
 
 @dataclass
@@ -42,6 +43,8 @@
         self.decoder = hpack.Decoder()
         self.next_number = 1
         self.last_accepted: int | None = None  # of a GOAWAY
+        self.max_streams: int | None = None  # that the balancer allows; unknown until it says so
+        self.settings_came = asyncio.Event()
         self.is_closed = False
 
     async def open(self, port: int) -> None:
@@ -92,6 +95,10 @@
             stream.ended.set()
 
     def _handle(self, kind: int, flags: int, number: int, payload: bytes) -> None:
+        if kind == SETTINGS and not flags & ACK:
+            values = dict(struct.iter_unpack(">HI", payload))
+            self.max_streams = values.get(MAX_CONCURRENT_STREAMS)
+            self.settings_came.set()
         if kind in (SETTINGS, PING) and not flags & ACK:
             self.writer.write(frame(kind, ACK, 0, payload if kind == PING else b""))
         elif kind == GOAWAY:
