--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -472,12 +472,13 @@
     with tempfile.TemporaryDirectory(prefix="review-2-") as temporary:
         world = World(folder, record, Path(temporary))
         record(f"trouble={'yes' if world.has_trouble else 'no'}")
+        verdict = NOT_RUN
+        _end_on_signals()
         try:
             async with asyncio.timeout(CASE_S):
                 verdict = await case(world)
-        except Exception as error:  # whatever prevents a verdict
+        except (Exception, asyncio.CancelledError) as error:  # whatever prevents a verdict
             record(f"the case could not run: {type(error).__name__}: {error}")
-            verdict = NOT_RUN
         finally:
             await world.close()
         if verdict != HELD:
@@ -488,6 +489,14 @@
     return verdict
 
 
+def _end_on_signals() -> None:
+    """End the case, with all that it has started, if the script is told to end."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+
+
 def _keep_logs(world: World) -> None:
     for started in world.processes:
         lines = started.log.read_text(errors="replace").splitlines()[-12:]
