Fail a record that cannot be encoded alone, not its whole block

What callers saw: after an answer with a Latin-1 letter in its type, keyed and unsafe requests of others were answered 503 (journal_write_failed), and the records of answers in the same block were missing after a restart. Cause: records are encoded in groups, and an error in one was taken for a failed write of the disk. Evidence: UnicodeEncodeError in the event; test_record_that_cannot_be_encoded_fails_alone fails before, as the next sound record is refused with the odd one's error. Change: encode_records raises RecordEncodingError; the writer fails the records that cannot be encoded (journal_record_refused), and writes the others as one block. It works as the disk's errors are no longer mixed with those of a record: only they close the segment and reject the next requests.

--- a/pepperhook/idempotency/journal/record.py
+++ b/pepperhook/idempotency/journal/record.py
@@ -13,7 +13,7 @@
 from msgspec import Struct
 from msgspec.structs import astuple
 
-from pepperhook.idempotency.journal.errors import JournalUnusableError
+from pepperhook.idempotency.journal.errors import JournalUnusableError, RecordEncodingError
 
 FORMAT_VERSION = 1
 SIGNATURE = b"pepperhook repeats "  # starts a segment; version and line feed follow
@@ -80,8 +80,11 @@
 
 
 def encode_records(records: Sequence[Record]) -> bytes:
-    """Encode a group of records as one block."""
-    return encode_block(_ENCODER.encode([_encoded_fields(record) for record in records]))
+    """Encode a group of records as one block. Raises RecordEncodingError."""
+    try:
+        return encode_block(_ENCODER.encode([_encoded_fields(record) for record in records]))
+    except (ValueError, TypeError, OverflowError) as error:
+        raise RecordEncodingError(f"{type(error).__name__}: {error}") from error
 
 
 def _encoded_fields(record: Record) -> tuple[object, ...]:
@@ -89,6 +92,15 @@
     return fields if record.window_ns else fields[:-1]
 
 
+def encoding_error(record: Record) -> RecordEncodingError | None:
+    """Return why a record cannot be encoded, or None if it can."""
+    try:
+        encode_records([record])
+    except RecordEncodingError as error:
+        return error
+    return None
+
+
 def encode_header(header: SegmentHeader) -> bytes:
     """Encode a segment's header as one block."""
     return encode_block(_ENCODER.encode(header))
--- a/pepperhook/idempotency/journal/segments.py
+++ b/pepperhook/idempotency/journal/segments.py
@@ -33,7 +33,7 @@
 class SegmentWriter:
     """Appends to the last segment, and starts the next one when it is full.
 
-    Methods block, and raise OSError.
+    Methods block, and raise OSError; ``append`` also raises RecordEncodingError.
     """
 
     def __init__(
--- a/pepperhook/idempotency/journal/writer.py
+++ b/pepperhook/idempotency/journal/writer.py
@@ -16,8 +16,12 @@
 from msgspec import Struct
 
 from pepperhook.idempotency.journal.compaction import SegmentRetention
-from pepperhook.idempotency.journal.errors import JournalUnusableError, JournalWriteError
-from pepperhook.idempotency.journal.record import Record
+from pepperhook.idempotency.journal.errors import (
+    JournalUnusableError,
+    JournalWriteError,
+    RecordEncodingError,
+)
+from pepperhook.idempotency.journal.record import Record, encoding_error
 from pepperhook.idempotency.journal.recovery import Recovery, recover
 from pepperhook.idempotency.journal.segments import SEGMENT_BYTES, SegmentWriter
 
@@ -183,8 +187,33 @@
         return group
 
     def write_group(self, group: list[PendingRecord]) -> None:
-        """Write a group of records, and complete the futures of those that have one."""
-        error = self._try_write([pending.record for pending in group])
+        """Write a group of records, and complete the futures of those that have one.
+
+        A record that cannot be encoded fails alone.
+        """
+        try:
+            error = self._try_write([pending.record for pending in group])
+        except RecordEncodingError:
+            encodable = self._fail_unencodable(group)
+            if encodable:
+                self.write_group(encodable)
+            return
+        self._complete(group, error)
+
+    def _fail_unencodable(self, group: list[PendingRecord]) -> list[PendingRecord]:
+        """Fail the records of a group that cannot be encoded; return the others."""
+        encodable = []
+        for pending in group:
+            error = encoding_error(pending.record)
+            if error is None:
+                encodable.append(pending)
+            else:
+                self._log_event("journal_record_refused", directory=self.directory, error=error)
+                self._complete([pending], f"{self.directory}: {error}")
+        return encodable
+
+    def _complete(self, group: list[PendingRecord], error: str | None) -> None:
+        """Complete the futures of a group; ``error``: why it was not written, or None."""
         now_s = time.monotonic()
         self.statistics.add_group([now_s - pending.queued_s for pending in group])
         futures = [pending.durable for pending in group if pending.durable is not None]
@@ -196,9 +225,11 @@
             self._loop.call_soon_threadsafe(_resolve, futures, error)
 
     def _try_write(self, records: list[Record]) -> str | None:
-        """Write records; return the error text, or None on success."""
+        """Write records; return the error text, or None on success. Raises RecordEncodingError."""
         try:
             self.persist(records)
+        except RecordEncodingError:
+            raise
         except Exception as error:  # else the thread would end, and its futures would never be done
             reason = getattr(error, "strerror", None) or f"{type(error).__name__}: {error}"
             if self._write_error is None:
@@ -213,7 +244,7 @@
         return None
 
     def persist(self, records: list[Record]) -> None:
-        """Make records durable. Raises OSError."""
+        """Make records durable. Raises OSError or RecordEncodingError."""
         self.segments.append(records)
 
 
--- a/tests/idempotency/test_journal_writer.py
+++ b/tests/idempotency/test_journal_writer.py
@@ -8,7 +8,7 @@
 
 from pepperhook.idempotency.journal import writer
 from pepperhook.idempotency.journal.errors import JournalWriteError
-from pepperhook.idempotency.journal.record import RecordKind
+from pepperhook.idempotency.journal.record import Record, RecordKind
 from pepperhook.idempotency.journal.recovery import recover
 from pepperhook.idempotency.journal.segments import segment_numbers
 from tests.idempotency.journals import make_journal, make_record, number_of, write_one_by_one
@@ -118,3 +118,30 @@
             journal.append(make_record(3))
             await asyncio.sleep(0.01)
     journal.close()
+
+
+async def test_record_that_cannot_be_encoded_fails_alone(tmp_path):
+    """Guards against one such record failing all others in its block, and those after it."""
+    events = []
+    journal = make_journal(tmp_path, log_event=lambda event, **_fields: events.append(event))
+    journal.open()
+    odd = Record(RecordKind.STARTED, b"odd", b"print", "pay", "a\udce7", 0)
+    futures = [
+        queue_before_start(journal, record) for record in (make_record(1), odd, make_record(2))
+    ]
+    journal.append(odd)
+    journal.start(asyncio.get_running_loop())
+
+    results = await asyncio.gather(*futures, return_exceptions=True)
+    await journal.append_durably(make_record(3))
+    journal.close()
+
+    assert [type(result) for result in results] == [type(None), JournalWriteError, type(None)]
+    assert events == ["journal_record_refused"] * 2
+    assert list(recover(tmp_path, 0).records) == [make_record(number).key for number in (1, 2, 3)]
+
+
+def queue_before_start(journal, record):
+    """Queue a record before the writer's thread runs, so that all are in one group."""
+    journal._loop = asyncio.get_running_loop()
+    return journal.append_durably(record)
