Answer HTTP/2 requests with an invalid octet in a field, in place of a reset

What callers saw: a request whose headers or trailers have an octet that no field may have (a capital letter in a name, NUL in a value, a blank at its end), or a Content-Length that is no number, was reset over HTTP/2 and answered 400 over HTTP/1.1. A request that a defect ended was reset, too, where HTTP/1.1 answers 500. Cause: RFC 9113, 8.1.1, has them as stream errors; it permits a response before, which was not made. Change: the connection reports such a request (InvalidFieldReceived), and the server refuses it like any other that is not valid: a whole response of 400, which closes the stream. A request that a defect ends is answered as failed unless its response has begun. Checks changed: three cases of test_conformance (8.2.1) and "upper-case name" of test_malformed_heads wanted the reset, against the rule of one final answer for each request; they now want one whole response of 400, no reset and no GOAWAY, which is as strict. Malformed pseudo-headers and connection headers are reset as before.

--- a/pepperhook/http2/connection.py
+++ b/pepperhook/http2/connection.py
@@ -5,6 +5,7 @@
 * A header block that cannot be decoded is a COMPRESSION_ERROR (4.3).
 * A wrong content-length is a stream error; it does not affect other streams (8.1.1).
 * Malformed request or response headers, or malformed trailers, are a stream error as well (8.1.1).
+* A request with an octet that no field may have is reported, so that it can be answered (8.2.1).
 * RST_STREAM on a closed stream is reported as an event, so that a flood of them can be limited.
 * A header block over many frames is limited in bytes while it is received.
 * The events of the frames before one with an error are not lost.
@@ -22,6 +23,7 @@
 import hpack
 from h2.frame_buffer import FrameBuffer
 from h2.stream import H2Stream
+from h2.utilities import HeaderValidationFlags, _reject_illegal_characters
 from hpack.struct import Header, HeaderTuple
 from hyperframe.frame import Frame, GoAwayFrame, HeadersFrame, RstStreamFrame
 
@@ -60,6 +62,18 @@
     """Headers or trailers that HPACK decodes but that are malformed (RFC 9113, 8.1.1)."""
 
 
+class InvalidFieldError(MalformedHeadError):
+    """A field name or value with an octet that it must not have (RFC 9113, 8.2.1)."""
+
+
+@dataclass(kw_only=True)
+class InvalidFieldReceived(h2.events.Event):
+    """A client's headers or trailers have an invalid field; the stream is still open."""
+
+    stream_id: int
+    reason: str
+
+
 class Http2Stream(H2Stream):
     """The state of one stream; overrides private methods of the pinned h2 version."""
 
@@ -80,6 +94,30 @@
         except (h2.exceptions.ProtocolError, UnicodeDecodeError) as error:
             raise MalformedHeadError(str(error)) from error
 
+    def _process_received_headers(
+        self,
+        headers: Iterable[Header],
+        header_validation_flags: HeaderValidationFlags,
+        header_encoding: bool | str | None,
+    ) -> list[Header]:
+        """Check headers. Raises InvalidFieldError or an error of the library."""
+        try:
+            return super()._process_received_headers(
+                headers, header_validation_flags, header_encoding
+            )
+        except h2.exceptions.ProtocolError:
+            _check_fields(headers, header_validation_flags)
+            raise
+
+
+def _check_fields(headers: Iterable[Header], flags: HeaderValidationFlags) -> None:
+    """Raise InvalidFieldError if a field has an octet that it must not have."""
+    try:
+        for _header in _reject_illegal_characters(headers, flags):
+            pass
+    except h2.exceptions.ProtocolError as error:
+        raise InvalidFieldError("a header has a character that is not permitted") from error
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedEvents:
@@ -189,17 +227,21 @@
         # intact and a stream error is enough.
         try:
             return super()._receive_headers_frame(frame)
-        except MalformedHeadError:
-            stream = self.streams[frame.stream_id]
-            frames = (
-                [] if stream.closed else stream.reset_stream(h2.errors.ErrorCodes.PROTOCOL_ERROR)
-            )
-            event = h2.events.StreamReset(
-                stream_id=frame.stream_id,
-                error_code=h2.errors.ErrorCodes.PROTOCOL_ERROR,
-                remote_reset=False,
-            )
-            return frames, [event]
+        except MalformedHeadError as error:
+            return self._handle_malformed_head(frame, error)
+
+    def _handle_malformed_head(
+        self, frame: HeadersFrame, _error: MalformedHeadError
+    ) -> tuple[list[Frame], list[h2.events.Event]]:
+        """Reset the stream of a malformed message."""
+        stream = self.streams[frame.stream_id]
+        frames = [] if stream.closed else stream.reset_stream(h2.errors.ErrorCodes.PROTOCOL_ERROR)
+        event = h2.events.StreamReset(
+            stream_id=frame.stream_id,
+            error_code=h2.errors.ErrorCodes.PROTOCOL_ERROR,
+            remote_reset=False,
+        )
+        return frames, [event]
 
     def _receive_rst_stream_frame(
         self, frame: RstStreamFrame
@@ -240,3 +282,16 @@
 
     def _terminate_connection(self, error_code: h2.errors.ErrorCodes) -> None:
         """Do nothing; the error that is raised next ends the receiving."""
+
+    def _handle_malformed_head(
+        self, frame: HeadersFrame, error: MalformedHeadError
+    ) -> tuple[list[Frame], list[h2.events.Event]]:
+        """Report a request with an invalid field, as it gets a response; reset others."""
+        if not isinstance(error, InvalidFieldError) or self.streams[frame.stream_id].closed:
+            return super()._handle_malformed_head(frame, error)
+        events: list[h2.events.Event] = [
+            InvalidFieldReceived(stream_id=frame.stream_id, reason=str(error))
+        ]
+        if "END_STREAM" in frame.flags:
+            events.append(h2.events.StreamEnded(stream_id=frame.stream_id))
+        return [], events
--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any, cast
 
@@ -19,7 +19,11 @@
 from hyperframe.frame import GoAwayFrame
 
 from pepperhook.http2.abuse_limits import AbuseBudget, FrameKind
-from pepperhook.http2.connection import Http2ServerConnection, ReceivedEvents
+from pepperhook.http2.connection import (
+    Http2ServerConnection,
+    InvalidFieldReceived,
+    ReceivedEvents,
+)
 from pepperhook.http2.drain import Drain
 from pepperhook.http2.managed_connection import ManagedConnection
 from pepperhook.http2.protocol import Http2Protocol
@@ -171,22 +175,37 @@
         self._begin_drain(ErrorCodes.ENHANCE_YOUR_CALM, ErrorCodes.ENHANCE_YOUR_CALM.name)
 
     def _on_request(self, event: h2.events.RequestReceived) -> None:
+        # The library returns str, not bytes, as the connection sets a header encoding.
+        headers = cast("list[tuple[str, str]]", event.headers)
+        stream = self._open_stream(event.stream_id, headers)
+        if stream is not None:
+            stream.handle_headers(event)
+            self.connections.message_grew(stream)
+
+    def _on_invalid_field(self, event: InvalidFieldReceived) -> None:
+        stream = self.streams.get(event.stream_id) or self._open_stream(event.stream_id, [])
+        if stream is not None:
+            stream.handle_invalid_field(event.reason)
+
+    def _open_stream(
+        self, stream_id: int, headers: Iterable[tuple[str, str]]
+    ) -> ServerStream | None:
+        """Add the stream of a new request; refuse it and return None if there may be no more."""
         if self.is_going_away or not self._has_free_stream():
             # Above the last id of a GOAWAY, or over the limit on streams of all connections
             # together. REFUSED_STREAM tells the client that the request was never executed.
             self._charge(FrameKind.REFUSED_REQUEST)
-            self.reset_stream(event.stream_id, ErrorCodes.REFUSED_STREAM)
+            self.reset_stream(stream_id, ErrorCodes.REFUSED_STREAM)
             self.counters.add("h2 streams refused")
-            return
-        stream = ServerStream(self, event)
+            return None
+        stream = ServerStream(self, stream_id, headers)
         self.last_stream_id = stream.stream_id
         self.streams[stream.stream_id] = stream
         self.connections.streams.add(stream)
         if len(self.streams) == 1:
             self.connections.request_begun(self)
         self._schedule_sweep()
-        stream.handle_headers(event)
-        self.connections.message_grew(stream)
+        return stream
 
     def _has_free_stream(self) -> bool:
         """Return whether a stream is free, if need be that of the longest waiting response.
@@ -415,6 +434,7 @@
 
 EVENT_HANDLERS: dict[type[h2.events.Event], Callable[[ServerConnection, Any], None]] = {
     h2.events.RequestReceived: ServerConnection._on_request,
+    InvalidFieldReceived: ServerConnection._on_invalid_field,
     h2.events.DataReceived: ServerConnection._on_data,
     h2.events.StreamEnded: ServerConnection._on_stream_ended,
     h2.events.StreamReset: ServerConnection._on_stream_reset,
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from functools import partial
 from http import HTTPStatus
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import h2.exceptions
 from h2.errors import ErrorCodes
@@ -16,6 +17,7 @@
 from pepperhook.server.http1_client import MAX_BODY_BYTES
 from pepperhook.server.ingress import PLAIN_TEXT
 from pepperhook.server.memory_ledger import STREAM_BYTES, message_bytes
+from pepperhook.server.messages import FinalResponse, ResponseKind
 from pepperhook.server.refusal import RequestRefusedError
 
 if TYPE_CHECKING:
@@ -41,19 +43,21 @@
         "is_complete",
         "is_refused",
         "is_reset",
+        "is_response_begun",
         "is_answered",
         "deadline",
         "task",
         "waited_s",
     )
 
-    def __init__(self, connection: ServerConnection, event: RequestReceived) -> None:
+    def __init__(
+        self, connection: ServerConnection, stream_id: int, headers: Iterable[tuple[str, str]]
+    ) -> None:
         """Read the headers of the request."""
-        super().__init__(event.stream_id)
+        super().__init__(stream_id)
         self.connection = connection
         self.waited_s = connection.waited_s
-        headers: CIMultiDict[str] = CIMultiDict()
-        self.headers = headers
+        self.headers: CIMultiDict[str] = CIMultiDict()
         self.method = ""
         self.target = ""
         self.body = bytearray()
@@ -61,15 +65,15 @@
         self.is_complete = False  # the whole request was received
         self.is_refused = False  # answered with an error; the rest of the request is discarded
         self.is_reset = False  # by the client, or for a stream error
+        self.is_response_begun = False  # its headers were written
         self.is_answered = False  # the whole response was written
         # By when the whole request must be received, in the event loop's time.
         self.deadline = connection.loop.time() + MESSAGE_TIMEOUT_S
         # Serves the request, or writes a response of the balancer itself.
         self.task: asyncio.Task[None] | None = None
-        # The library returns str, not bytes, as the connection sets a header encoding.
-        for name, value in cast("list[tuple[str, str]]", event.headers):
+        for name, value in headers:
             if not name.startswith(":"):
-                headers.add(name, value)
+                self.headers.add(name, value)
             elif name == ":method":
                 self.method = value
             elif name == ":path":
@@ -94,13 +98,22 @@
         """Check the headers and set the service class. Raises RequestRefusedError."""
         self.connection.connections.check_busy()
         length = self.headers.get("Content-Length")
+        if length is not None and not (length.isascii() and length.isdecimal()):
+            raise RequestRefusedError(
+                HTTPStatus.BAD_REQUEST, "Content-Length: a whole number is wanted"
+            )
         has_body = not is_end_of_stream or bool(length and length != "0")
         self.service_class = self.connection.ingress.service_class(
             self.method, path, self.headers, has_body
         )
-        if length is not None and length.isdecimal() and int(length) > MAX_BODY_BYTES:
+        if length is not None and int(length) > MAX_BODY_BYTES:
             raise _body_too_large_error()
 
+    def handle_invalid_field(self, reason: str) -> None:
+        """Refuse a request whose headers or trailers have an invalid field."""
+        if self.task is None:
+            self.refuse(RequestRefusedError(HTTPStatus.BAD_REQUEST, reason))
+
     def add_data(self, event: DataReceived) -> None:
         """Append a part of the body, and refuse the request if the body is too large."""
         if self.is_refused:
@@ -201,14 +214,24 @@
     def _on_serve_done(self, task: asyncio.Task[None]) -> None:
         error = None if task.cancelled() else task.exception()
         if error is not None:
-            self.connection.log_fault(error)
-            self.connection.reset_stream(self.stream_id, ErrorCodes.INTERNAL_ERROR)
-        elif self.is_answered:
+            self._handle_fault(error)
+            return
+        if self.is_answered:
             # A cancelled request does not refill the credit: the refill is twice the cost of its
             # reset.
             self.connection.abuse_budget.request_answered()
         self.connection.remove_stream(self)
 
+    def _handle_fault(self, error: BaseException) -> None:
+        """Answer a request that a defect has ended as failed, since it may have run."""
+        self.connection.log_fault(error)
+        if self.is_response_begun:
+            self.connection.reset_stream(self.stream_id, ErrorCodes.INTERNAL_ERROR)
+            self.connection.remove_stream(self)
+            return
+        failed = FinalResponse(ResponseKind.FAILED)
+        self._start_own_response(*self.connection.ingress.encode(failed))
+
     def _start_own_response(self, status: int, headers: list[Header], body: bytes) -> None:
         """Start a task that writes a response of the balancer itself: health check or error."""
         self.task = self.connection.loop.create_task(self.write_response(status, headers, body))
@@ -226,6 +249,7 @@
         ]
         try:
             connection.h2.send_headers(self.stream_id, head, end_stream=not body)
+            self.is_response_begun = True
             await self._write_body(body)
         except TimeoutError:
             # Counts responses given up because the client opened no window in time.
