Test of a restart: let the open request end only after the crash

Cause: test_restart_keeps_the_window_of_a_version failed once beside other tests: "(200, b'run 2') == (500, ...)". Change: the upstream answers only after the copy, which is made when the request runs. What is asserted is as before.

--- a/tests/idempotency/test_changed_settings.py
+++ b/tests/idempotency/test_changed_settings.py
@@ -156,7 +156,7 @@
     return tmp_path / "journal"
 
 
-async def use_key_and_crash(peer, directory, **options):
+async def use_key_and_crash(peer, upstream, directory, **options):
     """Use one key to its end and one without, under a version; return what a crash leaves."""
     crashed = directory.with_name("crashed")
     async with ControlledBalancer(peer, journal=str(directory), **options) as balancer:
@@ -166,10 +166,12 @@
         assert await balancer.hold("ended") == (200, b"run 1")
         journal = balancer.extension.journal
         await wait_until(lambda: journal.statistics.records >= 2)
+        upstream.release.clear()  # the request must not end before the crash
         client = await send_pay(balancer.balancer, "open", "/hold")
-        await wait_until(lambda: journal.statistics.records >= 3)
+        await upstream.wait_for_runs(2)
         shutil.copytree(directory, crashed)
         client.abort()
+        upstream.release.set()
     return crashed
 
 
@@ -180,7 +182,7 @@
     # Without the file the balancer comes back with its startup settings, and their short window.
     last_good_file = str(tmp_path / "good.json") if has_last_good_file else None
     async with ScriptedPeer(upstream) as peer:
-        crashed = await use_key_and_crash(peer, directory, last_good_file=last_good_file)
+        crashed = await use_key_and_crash(peer, upstream, directory, last_good_file=last_good_file)
         runs = upstream.runs
 
         async with ControlledBalancer(
