Take field values as octets, on both protocols, in journals and between edges

A request with such an octet in any header was reset over HTTP/2. Cause: values were text, decoded and encoded in each place in its own way: UTF-8 by the HTTP/2 server, Latin-1 by the HTTP/2 client, surrogates by aiohttp, whose writer drops them. Change: server/field_value.py has the type, FieldValue, whose content is octets, and the only conversions; messages, hook points, keys, stored responses and records carry it. server/http1_writer.py writes heads octet by octet. A value goes on as it came, or its request is refused with 400, or its answer is malformed. This works as no place decodes or encodes by itself any more. From an upstream over HTTP/2, such a type was re-encoded and answered 200 before. A blank or control character in a target over HTTP/2, which would have changed the request line of HTTP/1.1, gets 400. The type of a response that is not 200 no longer matters: a malformed one does not hide X-Not-Processed. Records have the type as text if it is UTF-8, byte for byte as before, else in a tenth field that the build before ignores.

--- a/pepperhook/http2/client.py
+++ b/pepperhook/http2/client.py
@@ -14,7 +14,7 @@
 
 import h2.exceptions
 
-from pepperhook.http2.client_connection import ClientConnection
+from pepperhook.http2.client_connection import ClientConnection, Head
 from pepperhook.http2.exchange import Exchange
 from pepperhook.server.attempt_errors import (
     AttemptError,
@@ -28,8 +28,10 @@
     SocketLimitError,
     StaleConnectionError,
 )
+from pepperhook.server.field_value import encode_octets
 
 if TYPE_CHECKING:
+    from pepperhook.server.messages import Header
     from pepperhook.server.metrics import Counters
     from pepperhook.server.structured_logging import Log
 
@@ -81,7 +83,7 @@
         self,
         method: str,
         target: str,
-        headers: list[tuple[str, str]],
+        headers: list[Header],
         body: bytes,
         timeout_s: float,
         may_write: Callable[[], bool] | None = None,
@@ -117,15 +119,13 @@
         assert exchange.status is not None  # a response without a status ends with an error
         return exchange.status, exchange.headers, bytes(exchange.body)
 
-    def _request_head(
-        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
-    ) -> list[tuple[str, str]]:
-        head = [
+    def _request_head(self, method: str, target: str, headers: list[Header], body: bytes) -> Head:
+        head: Head = [
             (":method", method),
             (":scheme", "http"),
             (":authority", self.address),
-            (":path", target),
-            *((name.lower(), value) for name, value in headers),
+            (":path", encode_octets(target)),
+            *((name.lower(), value.octets) for name, value in headers),
         ]
         if body:
             head.append(("content-length", str(len(body))))
@@ -270,7 +270,7 @@
 
 
 async def _run_exchange(
-    connection: ClientConnection, exchange: Exchange, head: list[tuple[str, str]], body: bytes
+    connection: ClientConnection, exchange: Exchange, head: Head, body: bytes
 ) -> None:
     """Send the request and wait for the exchange to end. Raises AttemptError, ProtocolError."""
     try:
--- a/pepperhook/http2/client_connection.py
+++ b/pepperhook/http2/client_connection.py
@@ -24,7 +24,7 @@
 from multidict import CIMultiDict
 
 from pepperhook.http2.abuse_limits import AbuseBudget, FrameKind, StreamLimit
-from pepperhook.http2.connection import Http2Connection
+from pepperhook.http2.connection import Http2Connection, library_headers
 from pepperhook.http2.protocol import Http2Protocol
 from pepperhook.server.attempt_errors import (
     AttemptError,
@@ -39,6 +39,9 @@
     from pepperhook.http2.client import Http2Client
     from pepperhook.http2.exchange import Exchange
 
+# The header list of a request; values that are text are ASCII.
+Head = list[tuple[str, str | bytes]]
+
 NS_PER_S = 1e9
 PING_AFTER_SILENCE_S = 1.0  # with streams open and nothing received
 PING_TIMEOUT_S = 1.0
@@ -60,7 +63,7 @@
     def __init__(self, owner: Http2Client) -> None:
         """Create the protocol of a connection that ``owner`` is about to open."""
         loop = owner.loop
-        config = h2.config.H2Configuration(client_side=True, header_encoding="latin-1")
+        config = h2.config.H2Configuration(client_side=True, header_encoding=None)
         connection = Http2Connection(config)
         super().__init__(loop, connection, AbuseBudget(int(loop.time() * NS_PER_S)))
         self.owner = owner
@@ -98,7 +101,7 @@
 
     # Sending.
 
-    def send_head(self, exchange: Exchange, headers: list[tuple[str, str]], has_body: bool) -> None:
+    def send_head(self, exchange: Exchange, headers: Head, has_body: bool) -> None:
         """Open a stream for ``exchange`` by sending the request's headers."""
         exchange.stream_id = self.h2.get_next_available_stream_id()
         exchange.started_at = self.loop.time()
@@ -168,7 +171,7 @@
         if exchange is None:
             return
         headers: CIMultiDict[str] = CIMultiDict()
-        for name, value in cast("list[tuple[str, str]]", event.headers):
+        for name, value in library_headers(event.headers):
             if name == ":status":
                 exchange.status = _parse_status(value)
             elif not name.startswith(":"):
@@ -178,7 +181,7 @@
             self._reject_response(exchange, "response without a valid status")
             return
         length = headers.get("Content-Length")
-        if length is not None and length.isdecimal():
+        if length is not None and length.isascii() and length.isdecimal():
             exchange.content_length = int(length)
             if exchange.content_length > MAX_BODY_BYTES:
                 self._reject_response(exchange, f"response body over {MAX_BODY_BYTES} bytes")
--- a/pepperhook/http2/connection.py
+++ b/pepperhook/http2/connection.py
@@ -14,7 +14,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import h2.connection
 import h2.errors
@@ -28,6 +28,7 @@
 from hyperframe.frame import Frame, GoAwayFrame, HeadersFrame, RstStreamFrame
 
 from pepperhook.errors import PepperhookError
+from pepperhook.server.field_value import decode_octets
 
 LENGTH_FIELD_BYTES = 3  # at the start of each frame header
 MAX_HEADER_BLOCK_BYTES = 48 * 1024  # a header list of 32 KB, and one frame more
@@ -74,6 +75,12 @@
     reason: str
 
 
+def library_headers(headers: Iterable[Header] | None) -> list[tuple[str, str]]:
+    """Return received headers as text of aiohttp, as ``field_value`` describes it."""
+    pairs = cast("list[tuple[bytes, bytes]]", headers or [])
+    return [(decode_octets(name), decode_octets(value)) for name, value in pairs]
+
+
 class Http2Stream(H2Stream):
     """The state of one stream; overrides private methods of the pinned h2 version."""
 
--- a/pepperhook/http2/server.py
+++ b/pepperhook/http2/server.py
@@ -23,6 +23,7 @@
     Http2ServerConnection,
     InvalidFieldReceived,
     ReceivedEvents,
+    library_headers,
 )
 from pepperhook.http2.drain import Drain
 from pepperhook.http2.managed_connection import ManagedConnection
@@ -73,7 +74,7 @@
             self,
             connections.loop,
             Http2ServerConnection(
-                h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+                h2.config.H2Configuration(client_side=False, header_encoding=None)
             ),
             AbuseBudget(ingress.runtime.now()),
         )
@@ -175,9 +176,7 @@
         self._begin_drain(ErrorCodes.ENHANCE_YOUR_CALM, ErrorCodes.ENHANCE_YOUR_CALM.name)
 
     def _on_request(self, event: h2.events.RequestReceived) -> None:
-        # The library returns str, not bytes, as the connection sets a header encoding.
-        headers = cast("list[tuple[str, str]]", event.headers)
-        stream = self._open_stream(event.stream_id, headers)
+        stream = self._open_stream(event.stream_id, library_headers(event.headers))
         if stream is not None:
             stream.handle_headers(event)
             self.connections.message_grew(stream)
--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -14,6 +14,7 @@
 
 from pepperhook.http2.protocol import OutgoingStream
 from pepperhook.server.client_connection import MESSAGE_TIMEOUT_S
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.http1_client import MAX_BODY_BYTES
 from pepperhook.server.ingress import PLAIN_TEXT
 from pepperhook.server.memory_ledger import STREAM_BYTES, message_bytes
@@ -53,7 +54,7 @@
     def __init__(
         self, connection: ServerConnection, stream_id: int, headers: Iterable[tuple[str, str]]
     ) -> None:
-        """Read the headers of the request."""
+        """Read the headers of the request; ``headers``: text of the library, as in aiohttp."""
         super().__init__(stream_id)
         self.connection = connection
         self.waited_s = connection.waited_s
@@ -203,8 +204,17 @@
             ingress.count_refusal(error)
             await self.write_response(error.status, _error_headers(error), _error_body(error))
             return
-        status, headers, body = ingress.encode(final_response)
-        await self.write_response(status, headers, body)
+        await self.write_response(*self._encode(final_response))
+
+    def _encode(self, response: FinalResponse) -> tuple[int, list[Header], bytes]:
+        """Return status, headers and body; those of a failure if a header is not UTF-8."""
+        ingress = self.connection.ingress
+        status, headers, body = ingress.encode(response)
+        if all(value.is_utf8 for _, value in headers):
+            return status, headers, body
+        # Counts served responses whose type is not sent over HTTP/2.
+        self.connection.counters.add("h2 types not utf8")
+        return ingress.encode(FinalResponse(ResponseKind.FAILED, headers=response.headers))
 
     async def _wait_for_turn(self, request: Request) -> None:
         connection = self.connection
@@ -242,10 +252,10 @@
         connection = self.connection
         if connection.is_closed or self.is_reset:
             return
-        head = [
+        head: list[tuple[str, str | bytes]] = [
             (":status", str(status)),
             ("content-length", str(len(body))),
-            *((name.lower(), value) for name, value in headers),
+            *((name.lower(), value.octets) for name, value in headers),
         ]
         try:
             connection.h2.send_headers(self.stream_id, head, end_stream=not body)
@@ -308,7 +318,8 @@
 
 
 def _error_headers(error: RequestRefusedError) -> list[Header]:
-    return [("Content-Type", PLAIN_TEXT), *error.headers.items()]
+    own_headers = [(name, FieldValue.ascii(text)) for name, text in error.headers.items()]
+    return [("Content-Type", PLAIN_TEXT), *own_headers]
 
 
 def _error_body(error: RequestRefusedError) -> bytes:
--- a/pepperhook/idempotency/entries.py
+++ b/pepperhook/idempotency/entries.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from pepperhook.idempotency.capacity import TenantPartition
+    from pepperhook.server.field_value import FieldValue
 
 
 class EntryState(Enum):
@@ -47,7 +48,7 @@
     """The complete response to a key's first request."""
 
     body: bytes
-    content_type: str | None
+    content_type: FieldValue | None
 
 
 class KeyRules(Struct, frozen=True):
--- a/pepperhook/idempotency/extension.py
+++ b/pepperhook/idempotency/extension.py
@@ -19,7 +19,7 @@
 from pepperhook.idempotency.journal.errors import JournalUnusableError
 from pepperhook.idempotency.journal.recovery import Recovery
 from pepperhook.idempotency.journal.writer import Journal
-from pepperhook.idempotency.key_header import check_key, read_key
+from pepperhook.idempotency.key_header import NO_KEY, check_key, read_key
 from pepperhook.idempotency.keys import key_digest, request_fingerprint
 from pepperhook.idempotency.peer_protocol import decode_rules
 from pepperhook.idempotency.recorder import KeyedRequest, RequestRecorder
@@ -178,7 +178,7 @@
         policy = self.settings.policy(number)
         key = read_key(message)
         refusal = check_key(key, policy)
-        if refusal is not None or not key:
+        if refusal is not None or key == NO_KEY:
             return refusal
         digest = key_digest(number, request.tenant, key)
         if self.peers is not None:
--- a/pepperhook/idempotency/journal/record.py
+++ b/pepperhook/idempotency/journal/record.py
@@ -14,6 +14,7 @@
 from msgspec.structs import astuple
 
 from pepperhook.idempotency.journal.errors import JournalUnusableError, RecordEncodingError
+from pepperhook.server.field_value import FieldValue
 
 FORMAT_VERSION = 1
 SIGNATURE = b"pepperhook repeats "  # starts a segment; version and line feed follow
@@ -49,10 +50,29 @@
     tenant: str | None
     recorded_ns: int  # by the machine's monotonic clock
     body: bytes | None = None
-    content_type: str | None = None
+    content_type: str | None = None  # UTF-8; None if there is none, or if it is in the last field
     # How long the key applies, if a version of the control plane has extended that; 0: as the
-    # settings have it. Not encoded if 0, as in journals of earlier builds.
+    # settings have it.
     window_ns: int = 0
+    # A type that is not UTF-8, and has no text. Earlier builds ignore this field, and would not
+    # start with a journal that has bytes in ``content_type``.
+    content_type_octets: bytes | None = None
+
+    def response_type(self) -> FieldValue | None:
+        """Return the type of the response's body."""
+        if self.content_type_octets is not None:
+            return FieldValue(self.content_type_octets)
+        return None if self.content_type is None else FieldValue(self.content_type.encode())
+
+    def set_response_type(self, content_type: FieldValue | None) -> None:
+        """Set the type of the response's body."""
+        self.content_type = self.content_type_octets = None
+        if content_type is None:
+            return
+        try:
+            self.content_type = content_type.octets.decode()
+        except UnicodeDecodeError:
+            self.content_type_octets = content_type.octets
 
 
 class SegmentHeader(Struct, array_like=True):
@@ -88,8 +108,11 @@
 
 
 def _encoded_fields(record: Record) -> tuple[object, ...]:
+    """Return the fields without the last ones that are not set, as earlier builds wrote them."""
     fields = astuple(record)
-    return fields if record.window_ns else fields[:-1]
+    if record.content_type_octets is not None:
+        return fields
+    return fields[:-1] if record.window_ns else fields[:-2]
 
 
 def encoding_error(record: Record) -> RecordEncodingError | None:
--- a/pepperhook/idempotency/key_header.py
+++ b/pepperhook/idempotency/key_header.py
@@ -6,20 +6,22 @@
 
 from pepperhook.idempotency.replies import BAD_REQUEST, KEY_HEADER, Reply, refused
 from pepperhook.idempotency.service_classes import ServiceClassPolicy
+from pepperhook.server.field_value import FieldValue
 
-MAX_KEY_LENGTH = 256  # characters
+MAX_KEY_LENGTH = 256  # octets
+NO_KEY = FieldValue(b"")
 
 
-def read_key(message: Any) -> str:
-    """Return the key of a request, or an empty string if it has none."""
-    values: list[str] | None = (message.read_headers or {}).get(KEY_HEADER)
-    return values[0] if values else ""
+def read_key(message: Any) -> FieldValue:
+    """Return the key of a request, or NO_KEY if it has none."""
+    values: list[FieldValue] | None = (message.read_headers or {}).get(KEY_HEADER)
+    return values[0] if values else NO_KEY
 
 
-def check_key(key: str, policy: ServiceClassPolicy) -> Reply | None:
+def check_key(key: FieldValue, policy: ServiceClassPolicy) -> Reply | None:
     """Return the error for a missing required key or a key that is too long, else None."""
-    if not key and policy.is_key_required:
+    if key == NO_KEY and policy.is_key_required:
         return refused(BAD_REQUEST, f"{KEY_HEADER} is wanted for this service grade")
-    if len(key) > MAX_KEY_LENGTH:
+    if len(key.octets) > MAX_KEY_LENGTH:
         return refused(BAD_REQUEST, f"{KEY_HEADER}: at most {MAX_KEY_LENGTH} characters are wanted")
     return None
--- a/pepperhook/idempotency/keys.py
+++ b/pepperhook/idempotency/keys.py
@@ -7,6 +7,8 @@
 
 from hashlib import blake2b
 
+from pepperhook.server.field_value import FieldValue, encode_octets
+
 DIGEST_BYTES = 16
 
 
@@ -23,7 +25,7 @@
     return state.digest()
 
 
-def key_digest(service_class: int, tenant: int | None, key: str) -> bytes:
+def key_digest(service_class: int, tenant: int | None, key: FieldValue) -> bytes:
     """Return the digest of a key, its service class and its tenant.
 
     Service class and tenant are identified by their numbers in the settings.
@@ -34,15 +36,16 @@
 
 def request_fingerprint(method: str, target: str, body: bytes) -> bytes:
     """Return the digest of a request's method, target and body."""
-    return digest(method.encode(), target.encode(), body)
+    return digest(method.encode(), encode_octets(target), body)
 
 
-def unquote(key: str) -> bytes:
+def unquote(key: FieldValue) -> bytes:
     """Return a key without the quotes of a structured field string.
 
     The IETF draft requires a structured field string, but most clients send the bare key. Both
     forms identify the same key.
     """
-    if len(key) > 1 and key[0] == key[-1] == '"' and "\\" not in key:
-        key = key[1:-1]
-    return key.encode()
+    octets = key.octets
+    if len(octets) > 1 and octets[:1] == octets[-1:] == b'"' and b"\\" not in octets:
+        return octets[1:-1]
+    return octets
--- a/pepperhook/idempotency/peer_client.py
+++ b/pepperhook/idempotency/peer_client.py
@@ -16,6 +16,7 @@
 )
 from pepperhook.server import http1_client
 from pepperhook.server.attempt_errors import AttemptError, NotSentError
+from pepperhook.server.messages import Header
 
 CONNECT_TIMEOUT_S = 0.3
 POLL_TIMEOUT_S = 2 * CONNECT_TIMEOUT_S
@@ -67,7 +68,7 @@
         self,
         member: Member,
         message: Any,
-        headers: list[tuple[str, str]],
+        headers: list[Header],
         timeout_s: float,
     ) -> tuple[int, Any, bytes]:
         """Forward a request; return status, headers and body of the response.
--- a/pepperhook/idempotency/peer_protocol.py
+++ b/pepperhook/idempotency/peer_protocol.py
@@ -28,6 +28,10 @@
     rejected,
     served,
 )
+from pepperhook.server.attempt_errors import MalformedResponseError
+from pepperhook.server.content_type import content_type_of
+from pepperhook.server.field_value import FieldValue
+from pepperhook.server.messages import Header
 from pepperhook.settings import MAX_NUMBER
 
 EPOCH_HEADER = "Pepperhook-Epoch"
@@ -113,11 +117,11 @@
 
 
 def forwarded_headers(
-    headers: Iterable[tuple[str, str]],
-    read_headers: Mapping[str, Iterable[str]],
+    headers: Iterable[Header],
+    read_headers: Mapping[str, Iterable[FieldValue]],
     epoch: int,
     timeout_s: float,
-) -> list[tuple[str, str]]:
+) -> list[Header]:
     """Return the headers of a forwarded request.
 
     ``headers`` are those that are also sent to upstreams; ``read_headers`` are those that this
@@ -125,8 +129,8 @@
     """
     forwarded = [
         *headers,
-        (EPOCH_HEADER, str(epoch)),
-        (TIMEOUT_HEADER, str(max(1, int(timeout_s * 1000)))),
+        (EPOCH_HEADER, FieldValue.ascii(str(epoch))),
+        (TIMEOUT_HEADER, FieldValue.ascii(str(max(1, int(timeout_s * 1000))))),
     ]
     for name in FORWARDED_HEADERS:
         forwarded += [(name, value) for value in read_headers.get(name, ())]
@@ -140,20 +144,24 @@
     window_ns: int  # of the request's key
 
 
-def rules_headers(rules: SenderRules) -> list[tuple[str, str]]:
+def rules_headers(rules: SenderRules) -> list[Header]:
     """Return the headers that carry the sender's rules."""
     window_ms = -(-rules.window_ns // NS_PER_MS)
-    return [(EFFECT_HEADER, rules.effect.value), (WINDOW_HEADER, str(window_ms))]
+    return [
+        (EFFECT_HEADER, FieldValue.ascii(rules.effect.value)),
+        (WINDOW_HEADER, FieldValue.ascii(str(window_ms))),
+    ]
 
 
-def decode_rules(headers: Mapping[str, Sequence[str]]) -> SenderRules | None:
+def decode_rules(headers: Mapping[str, Sequence[FieldValue]]) -> SenderRules | None:
     """Return the sender's rules; None if the request has none, or malformed ones."""
     effects, windows = headers.get(EFFECT_HEADER), headers.get(WINDOW_HEADER)
-    if not effects or not windows or effects[0] not in set(Effect):
+    if not effects or not windows or effects[0].text not in set(Effect):
         return None
-    if not windows[0].isdecimal() or len(windows[0]) > MAX_WINDOW_DIGITS:
+    window_ms = windows[0].text
+    if not window_ms.isdecimal() or len(window_ms) > MAX_WINDOW_DIGITS:
         return None
-    return SenderRules(Effect(effects[0]), min(int(windows[0]) * NS_PER_MS, MAX_NUMBER))
+    return SenderRules(Effect(effects[0].text), min(int(window_ms) * NS_PER_MS, MAX_NUMBER))
 
 
 def decode_reply(
@@ -164,7 +172,7 @@
     Any status without a defined meaning becomes "failed", as the request may have run.
     """
     if status == OK:
-        return served(body, headers.get("Content-Type"))
+        return _decode_served(headers, body)
     if status in NEVER_RUN:
         retry_after_ns = _decode_retry_after(headers.get("Retry-After", ""))
         return rejected(min(retry_after_ns, max_retry_after_ns))
@@ -173,6 +181,13 @@
     return failed()
 
 
+def _decode_served(headers: Mapping[str, Any], body: bytes) -> Reply:
+    try:
+        return served(body, content_type_of(headers))
+    except MalformedResponseError:
+        return failed()
+
+
 def _decode_retry_after(value: str) -> int:
     """Convert seconds, which may have a fraction, to nanoseconds; 0 if malformed."""
     if not value.replace(".", "", 1).isdecimal():
--- a/pepperhook/idempotency/peer_server.py
+++ b/pepperhook/idempotency/peer_server.py
@@ -16,6 +16,7 @@
     lists_page,
 )
 from pepperhook.idempotency.replies import refused
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.http1_server import ConnectionLimits, Http1Server
 from pepperhook.server.ingress import Ingress
 
@@ -53,9 +54,10 @@
         epoch = headers.get(EPOCH_HEADER)
         if epoch != str(self._epoch):
             raise refused(MISDIRECTED, f"{EPOCH_HEADER}: this member has epoch {self._epoch}")
-        message.read_headers[EPOCH_HEADER] = [epoch]
-        for name in (EFFECT_HEADER, WINDOW_HEADER):
-            message.read_headers[name] = headers.getall(name, [])
+        for name in (EPOCH_HEADER, EFFECT_HEADER, WINDOW_HEADER):
+            message.read_headers[name] = [
+                FieldValue.from_library(text) for text in headers.getall(name, ())
+            ]
         return message
 
 
--- a/pepperhook/idempotency/recorder.py
+++ b/pepperhook/idempotency/recorder.py
@@ -66,7 +66,7 @@
         window_ns: int,
         response: StoredResponse | None = None,
     ) -> Record:
-        return Record(
+        record = Record(
             kind=kind,
             key=keyed.key,
             fingerprint=keyed.fingerprint,
@@ -74,9 +74,10 @@
             tenant=keyed.tenant,
             recorded_ns=self.runtime.now() - self.runtime.offset,
             body=None if response is None else response.body,
-            content_type=None if response is None else response.content_type,
             window_ns=window_ns,
         )
+        record.set_response_type(None if response is None else response.content_type)
+        return record
 
     def counters(self) -> dict[str, Any]:
         """Return counters for the operator."""
--- a/pepperhook/idempotency/replies.py
+++ b/pepperhook/idempotency/replies.py
@@ -1,6 +1,7 @@
 """Responses to requests that are not run themselves, as the balancer's types."""
 
 from pepperhook.idempotency.entries import Decision, StoredResponse, Verdict
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.messages import FinalResponse, ResponseKind
 from pepperhook.server.refusal import RequestRefusedError
 
@@ -14,7 +15,7 @@
 UNPROCESSABLE = 422
 
 
-def served(body: bytes, content_type: str | None) -> FinalResponse:
+def served(body: bytes, content_type: FieldValue | None) -> FinalResponse:
     """Return a reply that carries an upstream's response."""
     return FinalResponse(ResponseKind.SERVED, body, content_type)
 
--- a/pepperhook/idempotency/restoration.py
+++ b/pepperhook/idempotency/restoration.py
@@ -91,7 +91,7 @@
         ended_ns = now_ns if is_interrupted else record.recorded_ns + clock_offset_ns
         response = None
         if record.body is not None:
-            response = StoredResponse(record.body, record.content_type)
+            response = StoredResponse(record.body, record.response_type())
         return RecoveredEntry(
             fingerprint=record.fingerprint,
             rules=rules,
--- a/pepperhook/request_context/context_reader.py
+++ b/pepperhook/request_context/context_reader.py
@@ -7,6 +7,7 @@
 
 from pepperhook.key_ring import KeyRing
 from pepperhook.request_context.errors import InvalidContextError, RejectionReason
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.structured_logging import Log
 from pepperhook.units import SECOND
 
@@ -65,7 +66,7 @@
         self,
         now: int,
         decode: Callable[[str, KeyRing, bool], Message],
-        values: Iterable[str],
+        values: Iterable[FieldValue],
         peer: str | None,
     ) -> list[Message]:
         """Return the decoded messages of the values that are valid.
@@ -76,7 +77,7 @@
         messages = []
         for value in values:
             try:
-                messages.append(decode(value, self._keys, self._networks.contains(peer)))
+                messages.append(decode(value.text, self._keys, self._networks.contains(peer)))
             except InvalidContextError as error:
                 self._count_rejection(now, error.reason, peer)
         return messages
--- a/pepperhook/request_context/extension.py
+++ b/pepperhook/request_context/extension.py
@@ -24,6 +24,7 @@
     TierOutcome,
 )
 from pepperhook.request_context.request_state import Admission, Arrival, RequestState
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.messages import FinalResponse, ResponseKind
 from pepperhook.units import MILLISECOND, SECOND
 
@@ -138,7 +139,8 @@
         if context is None:
             self._app.counters.add("chain tries forbidden")
             return True
-        headers.append((CONTEXT_HEADER, context_header.write_context(context, self._keys)))
+        value = context_header.write_context(context, self._keys)
+        headers.append((CONTEXT_HEADER, FieldValue.ascii(value)))
         return False
 
     def ended(
@@ -167,7 +169,7 @@
         result = self.policy.respond(now, state, response.kind)
         if not self._table.entry:
             value = context_header.write_result(result, self._keys)
-            response.headers = [*(response.headers or ()), (RESULT_HEADER, value)]
+            response.headers = [*(response.headers or ()), (RESULT_HEADER, FieldValue.ascii(value))]
         self._log_request(request, state, result)
 
     def _log_request(self, request: Request, state: RequestState, result: ContextResult) -> None:
--- a/pepperhook/server/http1_client.py
+++ b/pepperhook/server/http1_client.py
@@ -15,6 +15,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from pepperhook.server import http1_writer
 from pepperhook.server.attempt_errors import (
     AttemptError,
     AttemptTimeoutError,
@@ -27,6 +28,7 @@
     StaleConnectionError,
 )
 from pepperhook.server.bounded_reads import BoundedReads
+from pepperhook.server.messages import Header
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024  # of a response; the library allows 128 fields of 8 KB
@@ -43,6 +45,8 @@
 
 Result = TypeVar("Result")
 
+http1_writer.use_head_writer()
+
 # Typed errors for those of the library; the first match counts. ClientResponseError means a
 # malformed response on an intact connection; a lost one raises other errors, or sets a cause.
 LIBRARY_ERRORS: tuple[tuple[type[Exception], type[AttemptError]], ...] = (
@@ -367,7 +371,7 @@
         self,
         method: str,
         target: str,
-        headers: list[tuple[str, str]],
+        headers: list[Header],
         body: bytes,
         timeout_s: float,
         may_write: Callable[[], bool] | None = None,
@@ -381,7 +385,7 @@
             method,
             URL(f"http://{self.address}{target}", encoded=True),
             _read_response,
-            headers=headers,
+            headers=[(name, value.to_library()) for name, value in headers],
             data=body or None,
             timeout=make_timeout(timeout_s, self.connect_timeout_s),
             middlewares=(partial(_send_once, may_write),),
--- a/pepperhook/server/http1_server.py
+++ b/pepperhook/server/http1_server.py
@@ -195,7 +195,7 @@
         status, response_headers, body = self.ingress.encode(final_response)
         response = web.Response(status=status, body=body)
         for name, value in response_headers:
-            response.headers.add(name, value)
+            response.headers.add(name, value.to_library())
         return response
 
     def _refuse(self, error: RequestRefusedError) -> web.Response:
@@ -277,4 +277,5 @@
 
 
 def _plain_response(status: int, text: str) -> web.Response:
-    return web.Response(status=status, body=text.encode(), headers={"Content-Type": PLAIN_TEXT})
+    headers = {"Content-Type": PLAIN_TEXT.to_library()}
+    return web.Response(status=status, body=text.encode(), headers=headers)
--- a/pepperhook/server/ingress.py
+++ b/pepperhook/server/ingress.py
@@ -14,6 +14,7 @@
 
 from pepperhook.domain import Effect, Request, ServiceClass
 from pepperhook.server import extensions as extension_points
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.messages import FinalResponse, Header, RequestMessage, ResponseKind
 from pepperhook.server.refusal import RequestRefusedError
 from pepperhook.server.request_ids import RequestIdRegistry
@@ -48,8 +49,8 @@
 NS_PER_US = 1000
 
 HEALTH_PATH = "/_health"
-PLAIN_TEXT = "text/plain; charset=utf-8"
-DEFAULT_CONTENT_TYPE = "application/octet-stream"
+PLAIN_TEXT = FieldValue.ascii("text/plain; charset=utf-8")
+DEFAULT_CONTENT_TYPE = FieldValue.ascii("application/octet-stream")
 REJECTED_BODY = b"shed\n"  # a retry is harmless
 FAILED_BODY = b"broken off\n"  # may have been executed
 
@@ -74,6 +75,7 @@
         self.requests = requests
         self.discovery = discovery
         self.read_header_names = extensions.reads
+        self.may_forward_over_http2 = extensions.h2 is not None
         self.service_classes = config.names.service_classes
         self.tenants = config.names.tenants
         self.settings = config.settings
@@ -149,18 +151,25 @@
     ) -> RequestMessage:
         """Return the message to forward, with the headers for extensions.
 
-        Raises RequestRefusedError if a forwarded header is not ASCII.
+        Raises RequestRefusedError if the target or a header cannot be forwarded as it is, or the
+        request's id is not ASCII: logs, traces, captures and contexts have it as text.
         """
-        forwarded = [(name, headers[name]) for name in FORWARDED_HEADERS if name in headers]
-        for name, value in forwarded:
-            if not value.isascii():
-                raise _bad_request(f"{name}: plain ASCII is wanted")
+        if not headers["X-Request-ID"].isascii():
+            raise _bad_request("X-Request-ID: plain ASCII is wanted")
+        _check_target(FieldValue.from_library(target), self.may_forward_over_http2)
+        forwarded = [
+            (name, value)
+            for name in FORWARDED_HEADERS
+            for value in _forwardable_values(headers, name)
+        ]
+        if self.may_forward_over_http2:
+            _check_utf8(forwarded)
         message = RequestMessage(
             method, target, forwarded, body, is_client_waiting=is_client_waiting
         )
         if self.read_header_names:
             message.read_headers = {
-                name: headers.getall(name, []) for name in self.read_header_names
+                name: _forwardable_values(headers, name) for name in self.read_header_names
             }
             message.client_address = client_address
         return message
@@ -210,8 +219,7 @@
             return None
         if name in self.tenants:
             return self.tenants[name]
-        latin_1 = name.encode("utf-8", "surrogateescape").decode("latin-1")
-        return self.tenants.get(latin_1)
+        return self.tenants.get(FieldValue.from_library(name).text)
 
     async def handle(self, request: Request, message: RequestMessage) -> FinalResponse:
         """Return the final response. Raises RequestRefusedError.
@@ -256,14 +264,17 @@
             case ResponseKind.SERVED:
                 status = HTTPStatus.OK
                 body = response.body
-                headers.append(("Content-Type", response.content_type or DEFAULT_CONTENT_TYPE))
+                content_type = response.content_type
+                if content_type is None:
+                    content_type = DEFAULT_CONTENT_TYPE
+                headers.append(("Content-Type", content_type))
             case ResponseKind.REJECTED:
                 status = HTTPStatus.SERVICE_UNAVAILABLE
                 body = REJECTED_BODY
                 headers.append(("Content-Type", PLAIN_TEXT))
                 if response.retry_after_ns:
                     retry_after_s = response.retry_after_ns / NS_PER_S
-                    headers.append(("Retry-After", f"{retry_after_s:.3f}"))
+                    headers.append(("Retry-After", FieldValue.ascii(f"{retry_after_s:.3f}")))
             case ResponseKind.FAILED:
                 status = HTTPStatus.INTERNAL_SERVER_ERROR
                 body = FAILED_BODY
@@ -275,6 +286,27 @@
     return RequestRefusedError(HTTPStatus.BAD_REQUEST, text)
 
 
+def _forwardable_values(headers: Any, name: str) -> list[FieldValue]:
+    """Return all values of a header. Raises RequestRefusedError if one cannot be forwarded."""
+    values = [FieldValue.from_library(text) for text in headers.getall(name, ())]
+    if not all(value.is_forwardable for value in values):
+        raise _bad_request(f"{name}: has a control character, or a blank at an end")
+    return values
+
+
+def _check_target(target: FieldValue, must_be_utf8: bool) -> None:
+    if not target.is_forwardable_target:
+        raise _bad_request("the target has a blank or a control character")
+    if must_be_utf8 and not target.is_utf8:
+        raise _bad_request("the target: UTF-8 is wanted")
+
+
+def _check_utf8(headers: list[Header]) -> None:
+    for name, value in headers:
+        if not value.is_utf8:
+            raise _bad_request(f"{name}: UTF-8 is wanted")
+
+
 def _check_method(service_class: ServiceClass, method: str, has_body: bool) -> None:
     expected = "GET" if service_class.effect == Effect.SAFE else "POST"
     if method != expected:
--- a/pepperhook/server/messages.py
+++ b/pepperhook/server/messages.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-Header = tuple[str, str]
-ReadHeaders = dict[str, list[str]]  # all values of each header, by its name
+from pepperhook.server.field_value import FieldValue
+
+Header = tuple[str, FieldValue]
+ReadHeaders = dict[str, list[FieldValue]]  # all values of each header, by its name
 
 
 @dataclass(slots=True)
@@ -13,7 +15,7 @@
     """A client's message as it is forwarded, with its body unchanged."""
 
     method: str
-    target: str
+    target: str  # text of the library, as ``field_value`` describes it
     headers: list[Header]
     body: bytes
     read_headers: ReadHeaders | None = None  # those that extensions read
@@ -26,7 +28,7 @@
     """A complete response of an upstream."""
 
     body: bytes
-    content_type: str | None
+    content_type: FieldValue | None
     read_headers: ReadHeaders | None = None  # those that extensions read
 
 
@@ -44,6 +46,6 @@
 
     kind: ResponseKind
     body: bytes = b""
-    content_type: str | None = None
+    content_type: FieldValue | None = None
     retry_after_ns: int = 0  # advice for rejected requests; 0: none
     headers: list[Header] | None = None  # added by extensions
--- a/pepperhook/server/upstream_pool.py
+++ b/pepperhook/server/upstream_pool.py
@@ -16,6 +16,8 @@
 from pepperhook.server import extensions as extension_points
 from pepperhook.server import http1_client
 from pepperhook.server.attempt_errors import AttemptError, ConnectTimeoutError, SocketLimitError
+from pepperhook.server.content_type import content_type_of
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.lifecycle_events import AttemptEnded, Inbox
 from pepperhook.server.messages import Header, RequestMessage, UpstreamResponse
 
@@ -280,7 +282,7 @@
         if timeout_s <= 0:
             raise TimeoutError
         timeout_ms = max(1, int(timeout_s * MS_PER_S))
-        headers = [*message.headers, (TIMEOUT_HEADER, str(timeout_ms))]
+        headers = [*message.headers, (TIMEOUT_HEADER, FieldValue.ascii(str(timeout_ms)))]
         for hook in self.extensions.dispatching:
             if hook(self.runtime.now(), attempt, headers):
                 return Outcome.NOT_SENT, None
@@ -293,12 +295,13 @@
             partial(self._may_write, endpoint, attempt, message),
         )
         read_headers = {
-            name: response_headers.getall(name, []) for name in self.extensions.reads_back
+            name: [FieldValue.from_library(text) for text in response_headers.getall(name, ())]
+            for name in self.extensions.reads_back
         }
-        response = UpstreamResponse(
-            body, response_headers.get("Content-Type"), read_headers or None
-        )
-        return _outcome_of(status, response_headers), response
+        outcome = _outcome_of(status, response_headers)
+        # Of others, the type is not forwarded, and must not hide that they were never executed.
+        content_type = content_type_of(response_headers) if outcome is Outcome.SERVED else None
+        return outcome, UpstreamResponse(body, content_type, read_headers or None)
 
     # Health checks.
 
--- a/tests/http2/scripted_client.py
+++ b/tests/http2/scripted_client.py
@@ -47,6 +47,7 @@
         self.request_count = 0
         # Results by stream id.
         self.statuses = {}
+        self.headers_received = {}
         self.bodies = {}
         self.reset_codes = {}
         self.ended = set()
@@ -152,7 +153,8 @@
     def _handle(self, event):
         match event:
             case h2.events.ResponseReceived():
-                self.statuses[event.stream_id] = int(dict(event.headers)[":status"])
+                self.headers_received[event.stream_id] = headers = dict(event.headers)
+                self.statuses[event.stream_id] = int(headers[":status"])
             case h2.events.DataReceived():
                 body = self.bodies.get(event.stream_id, b"")
                 self.bodies[event.stream_id] = body + event.data
--- a/tests/http2/test_client.py
+++ b/tests/http2/test_client.py
@@ -6,6 +6,7 @@
 from h2.settings import SettingCodes
 from hyperframe.frame import DataFrame, GoAwayFrame, HeadersFrame, RstStreamFrame
 
+from pepperhook.server.field_value import FieldValue
 from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS, wait_until
 from tests.http2.frames import END_HEADERS, END_STREAM, encode_headers
 from tests.http2.scripted_client import ScriptedClient
@@ -182,7 +183,9 @@
         assert (await balancer.request())[0] == 200
         [endpoint] = balancer.app.upstreams.endpoints.values()
         requests = [
-            endpoint.client.request("GET", "/look", [("x-request-id", f"w{n}")], b"", 5)
+            endpoint.client.request(
+                "GET", "/look", [("x-request-id", FieldValue.ascii(f"w{n}"))], b"", 5
+            )
             for n in range(30)
         ]
         statuses = [status for status, _, _ in await asyncio.gather(*requests)]
--- a/tests/idempotency/edges.py
+++ b/tests/idempotency/edges.py
@@ -6,6 +6,7 @@
 from pepperhook.idempotency.keys import key_digest
 from pepperhook.idempotency.ownership import Member, owner_of
 from pepperhook.idempotency.peers import Peers
+from pepperhook.server.field_value import FieldValue
 from tests.idempotency.balancers import make_extension, make_log, running_balancer
 
 LOOK, PAY, HOLD = 0, 1, 2  # service classes by number
@@ -54,7 +55,7 @@
         members = [Member(member, "") for member in self.names]
 
         def owner_name(key):
-            return owner_of(key_digest(service_class, None, key), members).name
+            return owner_of(key_digest(service_class, None, FieldValue.ascii(key)), members).name
 
         keys = (f"k{number}" for number in range(999))
         return next(key for key in keys if owner_name(key) == name)
--- a/tests/idempotency/test_formats.py
+++ b/tests/idempotency/test_formats.py
@@ -27,6 +27,7 @@
     lists_page,
     rules_headers,
 )
+from pepperhook.server.field_value import FieldValue
 
 PREFIX = b"pepperhook repeats 1\n"
 HEADER_BLOCK = bytes.fromhex("080000007fa23fee5b180b4093a4626f6f740102")
@@ -73,7 +74,7 @@
     ],
 )
 def test_key_digest_matches_the_stored_one(tenant, key, digest):
-    assert key_digest(1, tenant, key).hex() == digest
+    assert key_digest(1, tenant, FieldValue.ascii(key)).hex() == digest
 
 
 def test_fingerprint_matches_the_stored_one():
@@ -92,17 +93,21 @@
 
 def test_forwarded_request_carries_epoch_timeout_and_the_headers_that_the_balancer_reads():
     headers = forwarded_headers(
-        [("Idempotency-Key", "k")],
-        {"X-Tenant-Id": ["acme"], "X-Cost": [], "X-Unknown": ["1"]},
+        [("Idempotency-Key", FieldValue.ascii("k"))],
+        {
+            "X-Tenant-Id": [FieldValue(b"k\xf6y")],
+            "X-Cost": [],
+            "X-Unknown": [FieldValue.ascii("1")],
+        },
         epoch=7,
         timeout_s=0.0001,
     )
 
-    assert headers == [
-        ("Idempotency-Key", "k"),
-        ("Pepperhook-Epoch", "7"),
-        ("X-Timeout-Ms", "1"),
-        ("X-Tenant-Id", "acme"),
+    assert [(name, value.octets) for name, value in headers] == [
+        ("Idempotency-Key", b"k"),
+        ("Pepperhook-Epoch", b"7"),
+        ("X-Timeout-Ms", b"1"),
+        ("X-Tenant-Id", b"k\xf6y"),
     ]
 
 
@@ -111,7 +116,10 @@
 
     headers = rules_headers(rules)
 
-    assert headers == [("Pepperhook-Effect", "unsafe"), ("Pepperhook-Window-Ms", "600001")]
+    assert [(name, value.octets) for name, value in headers] == [
+        ("Pepperhook-Effect", b"unsafe"),
+        ("Pepperhook-Window-Ms", b"600001"),
+    ]
     received = {name: [value] for name, value in headers}
     assert decode_rules(received) == SenderRules(Effect.UNSAFE, 600_001 * 10**6)
 
@@ -121,13 +129,19 @@
     [([], ["1"]), (["unsafe"], []), (["odd"], ["1"]), (["unsafe"], ["-1"]), (["safe"], ["9" * 16])],
 )
 def test_missing_or_malformed_rules_of_a_sender_are_ignored(effect, window):
-    headers = {"Pepperhook-Effect": effect, "Pepperhook-Window-Ms": window}
+    headers = {
+        "Pepperhook-Effect": [FieldValue.ascii(text) for text in effect],
+        "Pepperhook-Window-Ms": [FieldValue.ascii(text) for text in window],
+    }
 
     assert decode_rules(headers) is None
 
 
 def test_longest_window_of_a_sender_can_be_recorded():
-    headers = {"Pepperhook-Effect": ["keyed"], "Pepperhook-Window-Ms": ["9" * 15]}
+    headers = {
+        "Pepperhook-Effect": [FieldValue.ascii("keyed")],
+        "Pepperhook-Window-Ms": [FieldValue.ascii("9" * 15)],
+    }
     record = Record(
         RecordKind.STARTED, b"k", b"p", "pay", None, 5, window_ns=decode_rules(headers).window_ns
     )
--- a/tests/idempotency/test_peer_replies.py
+++ b/tests/idempotency/test_peer_replies.py
@@ -11,7 +11,7 @@
 def test_served_response_is_relayed():
     reply = decode_reply(200, {"Content-Type": "text/x"}, b"done", MAX_RETRY_AFTER_NS)
 
-    assert (reply.kind, reply.body, reply.content_type) == ("served", b"done", "text/x")
+    assert (reply.kind, reply.body, reply.content_type.octets) == ("served", b"done", b"text/x")
 
 
 @pytest.mark.parametrize("status", [503, 421, 405])
--- a/tests/request_context/test_trust.py
+++ b/tests/request_context/test_trust.py
@@ -12,6 +12,7 @@
 )
 from pepperhook.request_context.errors import RejectionReason
 from pepperhook.server.extensions import Extensions
+from pepperhook.server.field_value import FieldValue
 from tests.request_context.contexts import KEYS, NO_KEYS, full_context, make_context
 from tests.request_context.tiers import LOOPBACK_NETWORK, make_extension, signed
 from tests.server.balancers import RunningBalancer
@@ -128,7 +129,7 @@
     reader = make_reader(log)
 
     for now in (0, 1, 2, LOG_INTERVAL_NS):
-        reader.read(now, read_context, ["nonsense"], "192.0.2.1")
+        reader.read(now, read_context, [FieldValue.ascii("nonsense")], "192.0.2.1")
 
     assert [(event, pairs["count"]) for event, pairs in log.warnings] == [
         ("chain_not_believed", 1),
@@ -147,7 +148,7 @@
     value = write_context(full_context(), NO_KEYS)
 
     for _ in range(2):  # the second time from the cache
-        contexts = reader.read(0, read_context, [value], peer)
+        contexts = reader.read(0, read_context, [FieldValue.ascii(value)], peer)
         assert contexts == ([full_context()] if is_accepted else [])
 
 
--- a/tests/server/balancers.py
+++ b/tests/server/balancers.py
@@ -189,7 +189,10 @@
 
     @staticmethod
     def make_request(path="/look", method=b"GET", body=b"", **headers):
-        """Return the bytes of a request; a header with the value None is omitted."""
+        """Return the bytes of a request.
+
+        A value of a header is text or bytes; a header with the value None is omitted.
+        """
         values = {
             "X-Request-ID": f"{next(REQUEST_IDS):08x}",
             "X-Timeout-Ms": "2000",
@@ -198,7 +201,7 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         lines = b"".join(
-            b"%s: %s\r\n" % (name.encode(), value.encode())
+            b"%s: %s\r\n" % (name.encode(), value if isinstance(value, bytes) else value.encode())
             for name, value in values.items()
             if value is not None
         )
--- a/tests/server/test_attempt_outcomes.py
+++ b/tests/server/test_attempt_outcomes.py
@@ -10,11 +10,14 @@
 
 NOT_PROCESSED = b"X-Not-Processed: 1\r\n"
 LONG_FIELDS = [b"A%d: %s\r\n" % (number, b"v" * 4000) for number in range(20)]
+CONTROL_CHARACTER_IN_TYPE = b"Content-Type: a\x01b\r\n"
 OUTCOMES = [
     (make_response(), Outcome.SERVED),
     (make_response(500), Outcome.ERROR),
     (make_response(204, b""), Outcome.ERROR),
     (make_response(503, headers=NOT_PROCESSED), Outcome.OVERLOADED),
+    (make_response(503, headers=NOT_PROCESSED + CONTROL_CHARACTER_IN_TYPE), Outcome.OVERLOADED),
+    (make_response(headers=CONTROL_CHARACTER_IN_TYPE), Outcome.MALFORMED_RESPONSE),
     (make_response(503), Outcome.ERROR),
     (make_response(504, headers=NOT_PROCESSED), Outcome.OVERLOADED),
     (make_response(500, headers=NOT_PROCESSED), Outcome.ERROR),
--- a/tests/server/test_extensions.py
+++ b/tests/server/test_extensions.py
@@ -1,6 +1,7 @@
 """The hook points: the order of the calls, and their effects on requests."""
 
 from pepperhook.server.extensions import NO_EXTENSIONS, POINTS, Extensions, listed_name
+from pepperhook.server.field_value import FieldValue
 from pepperhook.server.messages import FinalResponse, ResponseKind
 from tests.server.balancers import RunningBalancer
 from tests.server.peers import ScriptedPeer, always, make_response
@@ -23,7 +24,7 @@
 
     def dispatching(self, _now, _attempt, headers):
         self.calls.append("dispatching")
-        headers.append(("X-Spy", "1"))
+        headers.append(("X-Spy", FieldValue.ascii("1")))
         return self.refuses_attempts
 
     def ended(self, _now, _attempt, outcome, _response):
