Test trailers with odd octets; one set-up for malformed heads beside a request

Cause: trailers with an octet that is not UTF-8 were only seen by hand, and two tests of malformed heads had the same set-up.

--- a/tests/http2/test_field_octets.py
+++ b/tests/http2/test_field_octets.py
@@ -9,9 +9,20 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
+from hyperframe.frame import HeadersFrame
 
 from pepperhook.operator_config.schema import Http2Table
 from pepperhook.server.extensions import Extensions
+from tests.http2.frames import (
+    END_HEADERS,
+    END_STREAM,
+    POST_HEADERS,
+    PREFACE,
+    SETTINGS,
+    data_frame,
+    encode_headers,
+    headers_frame,
+)
 from tests.http2.scripted_client import ScriptedClient
 from tests.http2.scripted_upstream import ScriptedUpstream
 from tests.server.balancers import RunningBalancer
@@ -227,3 +238,45 @@
 
     for octet, (status, _) in enumerate(answers):
         assert status == (200 if 0x20 < octet < 0x7F else 400), octet
+
+
+async def test_trailers_with_octets_beyond_utf8_do_not_matter_over_http2():
+    def respond(connection, request):
+        connection.respond(request, end_stream=False)
+        trailers = encode_headers(("x-note", b"re\xe7u"))
+        connection.send(HeadersFrame(request.stream_id, trailers, flags=[END_HEADERS, END_STREAM]))
+
+    extensions = Extensions(h2=Http2Table(upstreams=HTTP2))
+    async with (
+        ScriptedUpstream(respond) as upstream,
+        RunningBalancer([upstream.address], extensions=extensions) as balancer,
+        ScriptedClient(balancer.port, is_raw=True) as client,
+    ):
+        client.expect_response(1)
+        client.send(
+            PREFACE,
+            SETTINGS,
+            headers_frame(1, POST_HEADERS, [END_HEADERS]),
+            data_frame(1, b"1"),
+            headers_frame(1, [("x-note", b"re\xe7u")]),
+        )
+
+        assert await client.response(1) == (200, b"done")
+        assert not client.reset_codes
+
+
+async def test_trailers_with_octets_beyond_utf8_do_not_matter_over_http1():
+    chunks = b"1\r\n1\r\n0\r\nX-Note: re\xe7u\r\n\r\n"
+    response = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+    async with (
+        ScriptedPeer(lambda *_: response) as peer,
+        RunningBalancer([peer.address]) as balancer,
+    ):
+        reader, writer = await balancer.connect()
+        message = balancer.make_request(
+            "/pay", b"POST", Content_Length=None, Transfer_Encoding="chunked"
+        )
+        writer.write(message + chunks)
+
+        assert await balancer.read_response(reader) == (200, b"1")
+        writer.close()
--- a/tests/http2/test_malformed_heads.py
+++ b/tests/http2/test_malformed_heads.py
@@ -8,6 +8,8 @@
 """
 
 import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import pytest
 from h2.errors import ErrorCodes
@@ -107,8 +109,22 @@
         assert (await first)[0] == 200
 
 
-@pytest.mark.parametrize("name", MALFORMED_REQUESTS)
-async def test_request_with_malformed_headers_is_reset_and_others_are_answered(name):
+@dataclass
+class Setup:
+    """A balancer with one upstream and one client.
+
+    The client's request on stream 1 is open until ``release`` is set.
+    """
+
+    balancer: RunningBalancer
+    peer: ScriptedPeer
+    client: ScriptedClient
+    release: asyncio.Event
+
+
+@asynccontextmanager
+async def beside_an_open_request():
+    """Run a Setup; the client expects responses on the streams 1 and 3."""
     release = asyncio.Event()
 
     async def script(*_):
@@ -124,9 +140,16 @@
         client.expect_response(3)
         client.send(PREFACE, SETTINGS, headers_frame(1))
         await wait_until(lambda: peer.requests)
+        yield Setup(balancer, peer, client, release)
+
+
+@pytest.mark.parametrize("name", MALFORMED_REQUESTS)
+async def test_request_with_malformed_headers_is_reset_and_others_are_answered(name):
+    async with beside_an_open_request() as setup:
+        client = setup.client
         client.send(headers_frame(3, MALFORMED_REQUESTS[name]))
         await client.read(lambda: 3 in client.reset_codes)
-        release.set()
+        setup.release.set()
 
         assert (await client.response(1)).status == 200
         assert client.reset_codes == {3: ErrorCodes.PROTOCOL_ERROR}
@@ -137,20 +160,8 @@
 @pytest.mark.parametrize("is_trailer", [False, True])
 async def test_request_with_an_invalid_field_is_refused_and_others_are_answered(name, is_trailer):
     # Guards against a reset in place of the one final answer.
-    async def script(*_):
-        await release.wait()
-        return make_response()
-
-    release = asyncio.Event()
-    async with (
-        ScriptedPeer(script) as peer,
-        RunningBalancer([peer.address], extensions=HTTP2_CLIENTS) as balancer,
-        ScriptedClient(balancer.port, is_raw=True) as client,
-    ):
-        client.expect_response(1)
-        client.expect_response(3)
-        client.send(PREFACE, SETTINGS, headers_frame(1))
-        await wait_until(lambda: peer.requests)
+    async with beside_an_open_request() as setup:
+        client = setup.client
         if is_trailer:
             client.send(
                 headers_frame(3, POST_HEADERS, [END_HEADERS]),
@@ -160,14 +171,14 @@
         else:
             client.send(headers_frame(3, [*GET_HEADERS, INVALID_FIELDS[name]]))
         refused = await client.response(3)
-        release.set()
+        setup.release.set()
 
         assert refused == (400, b"a header has a character that is not permitted\n")
         assert (await client.response(1)).status == 200
         assert client.ended == {1, 3}
         assert not client.reset_codes and client.goaway is None
-        assert len(peer.requests) == 1
-        assert balancer.counters["not taken 400"] == 1
+        assert len(setup.peer.requests) == 1
+        assert setup.balancer.counters["not taken 400"] == 1
 
 
 async def test_request_with_an_invalid_field_and_without_its_end_is_refused_once():
