Test of clients that leave one by one: end the flood within the time limit of the others

Its flood of 58 requests waited 30 ms for each, by polls and by reads for the GOAWAY: traced, it took 1.92 to 1.95 s. The requests that wait meanwhile have a limit of 2 s, so where the machine was busy they were answered as failed, and the test waited for them forever. Change: the flood ends by the balancer's own counter, without reads in between; that the client gets the GOAWAY with its code and last stream is now asserted. tests/http2 and tests/idempotency had a wait_until of their own with longer polls; the one of tests/server serves all.

--- a/tests/http2/test_client.py
+++ b/tests/http2/test_client.py
@@ -7,11 +7,11 @@
 from hyperframe.frame import DataFrame, GoAwayFrame, HeadersFrame, RstStreamFrame
 
 from pepperhook.server.field_value import FieldValue
-from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS
 from tests.http2.frames import END_HEADERS, END_STREAM, encode_headers
 from tests.http2.scripted_client import ScriptedClient
 from tests.http2.scripted_upstream import ScriptedUpstream
-from tests.server.balancers import RunningBalancer, endpoint_list, endpoint_rows
+from tests.server.balancers import RunningBalancer, endpoint_list, endpoint_rows, wait_until
 from tests.server.peers import ScriptedPeer, make_response
 
 
--- a/tests/http2/test_drain.py
+++ b/tests/http2/test_drain.py
@@ -15,10 +15,15 @@
 from pepperhook.http2.abuse_limits import MAX_CREDIT, FrameKind
 from pepperhook.operator_config.schema import Http2Table
 from pepperhook.server.extensions import Extensions
-from tests.http2.balancers import HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_CLIENTS
 from tests.http2.frames import END_HEADERS, headers_frame, make_get_headers
 from tests.http2.well_behaved_client import WellBehavedClient
-from tests.server.balancers import RunningBalancer, with_permissions, with_service_classes
+from tests.server.balancers import (
+    RunningBalancer,
+    wait_until,
+    with_permissions,
+    with_service_classes,
+)
 from tests.server.peers import ScriptedPeer, header_value, make_response
 
 # With streams = 100, so many clients that leave at once spend the credit.
@@ -99,6 +104,11 @@
     def counters(self):
         return self.balancer.app.counters
 
+    @property
+    def last_stream_id(self):
+        """The id of the last request that the client has sent."""
+        return self.client.h2.highest_outbound_stream_id
+
     async def accept(self, count):
         """Send requests, and wait until they are accepted; return their streams."""
         before = len(self.open_streams)
@@ -134,12 +144,16 @@
 async def test_clients_that_leave_one_by_one_cost_the_others_no_answer():
     async with Connected() as connected:
         waiting = await connected.accept(WAITING)
-        while connected.client.goaway is None:
+        # The flood must be over before the time limit of the waiting requests, so nothing is read
+        # in between, and the balancer's own counter tells the end.
+        while not connected.counters["h2 floods"]:
             connected.leave(await connected.accept(1))
             await wait_until(lambda: len(connected.open_streams) == WAITING)
-            with suppress(TimeoutError):
-                await connected.client.read(lambda: connected.client.goaway, timeout_s=0.01)
 
+        assert await connected.read_goaway() == (
+            ErrorCodes.ENHANCE_YOUR_CALM,
+            connected.last_stream_id,
+        )
         connected.peers.release.set()
 
         assert await connected.client.answers(waiting) == [200] * WAITING
--- a/tests/http2/test_floods.py
+++ b/tests/http2/test_floods.py
@@ -15,7 +15,7 @@
 )
 
 from pepperhook.http2.abuse_limits import MAX_CREDIT, FrameKind
-from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS
 from tests.http2.frames import (
     END_HEADERS,
     GET_HEADERS,
@@ -28,7 +28,7 @@
 )
 from tests.http2.scripted_client import ScriptedClient
 from tests.http2.scripted_upstream import ScriptedUpstream
-from tests.server.balancers import RunningBalancer
+from tests.server.balancers import RunningBalancer, wait_until
 from tests.server.peers import ScriptedPeer, make_response
 
 MAX_ROUNDS = 4000
--- a/tests/http2/test_malformed_heads.py
+++ b/tests/http2/test_malformed_heads.py
@@ -15,7 +15,7 @@
 from h2.errors import ErrorCodes
 from hyperframe.frame import HeadersFrame
 
-from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS
 from tests.http2.frames import (
     END_HEADERS,
     END_STREAM,
@@ -29,7 +29,7 @@
 )
 from tests.http2.scripted_client import ScriptedClient
 from tests.http2.scripted_upstream import ScriptedUpstream
-from tests.server.balancers import RunningBalancer
+from tests.server.balancers import RunningBalancer, wait_until
 from tests.server.peers import ScriptedPeer, make_response
 
 MALFORMED_RESPONSES = {
--- a/tests/http2/test_no_streams.py
+++ b/tests/http2/test_no_streams.py
@@ -8,9 +8,9 @@
 
 from pepperhook.http2.client import MAX_CONNECTIONS
 from pepperhook.server.attempt_errors import NoFreeStreamError
-from tests.http2.balancers import HTTP2_BOTH_SIDES, wait_until
+from tests.http2.balancers import HTTP2_BOTH_SIDES
 from tests.http2.scripted_upstream import ScriptedUpstream, never_respond
-from tests.server.balancers import RunningBalancer
+from tests.server.balancers import RunningBalancer, wait_until
 
 NO_STREAMS = {SettingCodes.MAX_CONCURRENT_STREAMS: 0}
 
--- a/tests/http2/test_server.py
+++ b/tests/http2/test_server.py
@@ -13,11 +13,11 @@
 from pepperhook.operator_config.schema import Http2Table
 from pepperhook.server.extensions import Extensions
 from pepperhook.server.turns import TURNS_PER_ITERATION
-from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_BOTH_SIDES, HTTP2_CLIENTS
 from tests.http2.frames import PREFACE, SETTINGS, headers_frame, make_get_headers
 from tests.http2.scripted_client import ScriptedClient
 from tests.http2.scripted_upstream import ScriptedUpstream
-from tests.server.balancers import RunningBalancer, with_permissions
+from tests.server.balancers import RunningBalancer, wait_until, with_permissions
 from tests.server.peers import ScriptedPeer, make_response
 
 ENVIRONMENT_WITH_CANCEL = with_permissions(cancel=True)  # attempts may be cancelled
--- a/tests/http2/test_shutdown.py
+++ b/tests/http2/test_shutdown.py
@@ -5,9 +5,9 @@
 import pytest
 from h2.errors import ErrorCodes
 
-from tests.http2.balancers import HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_CLIENTS
 from tests.http2.well_behaved_client import WellBehavedClient
-from tests.server.balancers import RunningBalancer, with_service_classes
+from tests.server.balancers import RunningBalancer, wait_until, with_service_classes
 from tests.server.peers import ScriptedPeer, always, make_response
 
 ACCEPT_S = 0.3  # how long the balancer accepts connections after the shutdown has started
--- a/tests/http2/test_withheld_windows.py
+++ b/tests/http2/test_withheld_windows.py
@@ -5,9 +5,9 @@
 import h2.settings
 from h2.settings import SettingCodes
 
-from tests.http2.balancers import HTTP2_CLIENTS, wait_until
+from tests.http2.balancers import HTTP2_CLIENTS
 from tests.http2.scripted_client import ScriptedClient
-from tests.server.balancers import RunningBalancer
+from tests.server.balancers import RunningBalancer, wait_until
 from tests.server.peers import ScriptedPeer, always, make_response
 
 SOCKETS = 64  # few descriptors, so that few streams are the limit
--- a/tests/idempotency/balancers.py
+++ b/tests/idempotency/balancers.py
@@ -10,7 +10,7 @@
 from pepperhook.operator_config.schema import IdempotencyTable
 from pepperhook.server.extensions import Extensions
 from pepperhook.server.structured_logging import Log
-from tests.server.balancers import ENVIRONMENT, RunningBalancer, make_config
+from tests.server.balancers import ENVIRONMENT, RunningBalancer, make_config, wait_until
 from tests.server.peers import make_response
 
 MAX_RETRY_AFTER_S = 0.9
@@ -23,7 +23,6 @@
         "maxRetryAfterUs": int(MAX_RETRY_AFTER_S * 10**6),
     },
 }
-POLL_INTERVAL_S = 0.005
 
 
 def make_log():
@@ -67,12 +66,6 @@
     return OpenRequest(*await balancer.send_request(path, b"POST", b"1", Idempotency_Key=key))
 
 
-async def wait_until(condition, interval_s=POLL_INTERVAL_S):
-    """Wait until ``condition()`` is true; only the timeout of the test limits the wait."""
-    while not condition():
-        await asyncio.sleep(interval_s)
-
-
 class BlockingUpstream:
     """A script that responds with the number of requests so far, once ``release`` is set."""
 
--- a/tests/idempotency/test_changed_settings.py
+++ b/tests/idempotency/test_changed_settings.py
@@ -21,11 +21,10 @@
     make_log,
     pay,
     send_pay,
-    wait_until,
 )
 from tests.idempotency.edges import HOLD, LOOK, Edges
 from tests.idempotency.stores import UNSAFE, key_settings, policies
-from tests.server.balancers import RunningBalancer, make_config
+from tests.server.balancers import RunningBalancer, make_config, wait_until
 from tests.server.peers import ScriptedPeer, always, make_response
 
 NS_PER_S = 10**9
--- a/tests/idempotency/test_durability.py
+++ b/tests/idempotency/test_durability.py
@@ -13,8 +13,8 @@
     pay,
     running_balancer,
     send_pay,
-    wait_until,
 )
+from tests.server.balancers import wait_until
 from tests.server.peers import ScriptedPeer, make_response
 
 MAX_ATTEMPTS = 100
--- a/tests/idempotency/test_extension.py
+++ b/tests/idempotency/test_extension.py
@@ -11,8 +11,8 @@
     pay,
     running_balancer,
     send_pay,
-    wait_until,
 )
+from tests.server.balancers import wait_until
 from tests.server.peers import ScriptedPeer, make_response
 
 FAILED = (500, b"broken off\n")
--- a/tests/idempotency/test_peers.py
+++ b/tests/idempotency/test_peers.py
@@ -18,9 +18,9 @@
     pay,
     running_balancer,
     send_pay,
-    wait_until,
 )
 from tests.idempotency.edges import WINDOW_S, Edges
+from tests.server.balancers import wait_until
 from tests.server.peers import ScriptedPeer, make_response
 
 LONG_WINDOW_S = 300.0
