--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -194,9 +194,11 @@
 
 def test_second_scenario_breaks_no_rule(second_run):
     _, result, _, _ = second_run
-    assert (
-        result["findings"] == [] and not result["interrupted"] and result["figures"]["served"] > 0.8
-    )
+    # The waits for a core tell a fault of the balancers from a machine without CPU time.
+    waits = result["core_wait"]
+    assert result["findings"] == [], f"void: {result['void']}, {waits}"
+    assert not result["interrupted"]
+    assert result["figures"]["served"] > 0.8, f"void: {result['void']}, {waits}"
 
 
 def test_draining_upstream_gets_nothing_after_the_grace_until_it_is_ready_again(second_run):
