Answers withheld over HTTP/2 count as failed for the tier above and in counters

Cause: the stream replaced the final response as it wrote it, after the hooks and counters had been given the first one.

Change: the request's lifecycle replaces it before anything is told of it. RequestMessage.client_reads_utf8_only says which clients need it. The stream writes what it gets. Stored answers for repeats stay as they were: they are kept when the attempt ends, before the final response.

--- a/pepperhook/http2/server_stream.py
+++ b/pepperhook/http2/server_stream.py
@@ -195,6 +195,7 @@
                 self.connection.client_address,
                 self.connection.is_client_waiting,
             )
+            message.client_reads_utf8_only = True
             request = ingress.request(
                 self.headers, service_class, self.waited_s, self.connection.number
             )
@@ -204,17 +205,7 @@
             ingress.count_refusal(error)
             await self.write_response(error.status, _error_headers(error), _error_body(error))
             return
-        await self.write_response(*self._encode(final_response))
-
-    def _encode(self, response: FinalResponse) -> tuple[int, list[Header], bytes]:
-        """Return status, headers and body; those of a failure if a header is not UTF-8."""
-        ingress = self.connection.ingress
-        status, headers, body = ingress.encode(response)
-        if all(value.is_utf8 for _, value in headers):
-            return status, headers, body
-        # Counts served responses whose type is not sent over HTTP/2.
-        self.connection.counters.add("h2 types not utf8")
-        return ingress.encode(FinalResponse(ResponseKind.FAILED, headers=response.headers))
+        await self.write_response(*ingress.encode(final_response))
 
     async def _wait_for_turn(self, request: Request) -> None:
         connection = self.connection
--- a/pepperhook/server/messages.py
+++ b/pepperhook/server/messages.py
@@ -21,6 +21,7 @@
     read_headers: ReadHeaders | None = None  # those that extensions read
     client_address: str | None = None  # set if extensions read headers
     is_client_waiting: Callable[[], bool] | None = None  # checks its connection
+    client_reads_utf8_only: bool = False  # so that it gets no other value; see ``is_utf8``
 
 
 @dataclass(slots=True)
--- a/pepperhook/server/request_lifecycle.py
+++ b/pepperhook/server/request_lifecycle.py
@@ -212,11 +212,20 @@
     def _respond(self, response: FinalResponse) -> None:
         if self._response.done():
             return
+        if not self._client_can_read(response):
+            self._counters.add("h2 types not utf8")
+            response = FinalResponse(ResponseKind.FAILED)
         self._counters.add(f"responses {response.kind}")
         for hook in self._extensions.answered:
             hook(self._runtime.now(), self._request, response)
         self._response.set_result(response)
 
+    def _client_can_read(self, response: FinalResponse) -> bool:
+        content_type = response.content_type
+        if content_type is None or not self._message.client_reads_utf8_only:
+            return True
+        return content_type.is_utf8
+
     def _finish(self) -> None:
         if not self._request.finished:
             self._runtime.call_policy(self._runtime.policy.client_left, self._request)
--- a/tests/http2/test_field_octets.py
+++ b/tests/http2/test_field_octets.py
@@ -12,6 +12,8 @@
 from hyperframe.frame import HeadersFrame
 
 from pepperhook.operator_config.schema import Http2Table
+from pepperhook.request_context.context_header import RESULT_HEADER, read_result
+from pepperhook.request_context.messages import TierOutcome
 from pepperhook.server.extensions import Extensions
 from tests.http2.frames import (
     END_HEADERS,
@@ -25,6 +27,7 @@
 )
 from tests.http2.scripted_client import ScriptedClient
 from tests.http2.scripted_upstream import ScriptedUpstream
+from tests.request_context.tiers import SHARED_KEYS, make_extension
 from tests.server.balancers import RunningBalancer
 from tests.server.peers import ScriptedPeer, header_value, make_response, request_target
 
@@ -280,3 +283,23 @@
 
         assert await balancer.read_response(reader) == (200, b"1")
         writer.close()
+
+
+async def test_tier_above_is_notified_that_an_answer_beyond_utf8_has_failed():
+    """The result of the request context said "served" on an answer of 500."""
+    upstream = Upstream()
+    extensions = Extensions([make_extension("b")], Http2Table(upstreams=HTTP1))
+    async with (
+        ScriptedPeer(upstream.respond_http1) as server,
+        RunningBalancer([server.address], extensions) as balancer,
+        ScriptedClient(balancer.port) as client,
+    ):
+        outcomes = {ord("x"): TierOutcome.SERVED, 0xE7: TierOutcome.FAILED}
+        for octet, outcome in outcomes.items():
+            stream_id = client.request(b"/pay/%d" % octet, "POST", b"1")
+            await client.response(stream_id)
+            result = client.headers_received[stream_id][RESULT_HEADER.lower()]
+            assert read_result(result, SHARED_KEYS, False).outcome is outcome
+        assert upstream.runs == len(outcomes)
+        assert balancer.counters["responses served"] == 1
+        assert balancer.counters["responses failed"] == 1
