A shutdown ends before SIGKILL may come, also where time limits exceed 3 s

Cause: the shutdown gave itself the longest time limit and 0.3 s. SIGKILL comes 0.7 s after that time limit, counted as 3 s at most.

Change: a longer time limit counts as 3 s for a shutdown. 50 ms before the connections close, requests in flight get 500 and their attempts are cancelled.

--- a/pepperhook/server/app.py
+++ b/pepperhook/server/app.py
@@ -34,6 +34,9 @@
 
 ACCEPT_S = 0.5  # how long a graceful shutdown still accepts connections
 SHUTDOWN_MARGIN_S = 0.3  # added to the longest time limit, to write the last responses
+# Requests with a longer time limit are ended earlier: SIGKILL may come 0.7 s after this time.
+MAX_SHUTDOWN_TIME_LIMIT_S = 3
+RESPONSE_WRITE_MARGIN_S = 0.05  # between the last final responses and the close of connections
 RESERVED_DESCRIPTORS = 24  # for the endpoint list, the log and the process itself
 NS_PER_MS = 10**6
 # Attributes of Config that take effect only at a restart, not at a reload.
@@ -208,11 +211,17 @@
     async def shut_down(self, accept_s: float = ACCEPT_S) -> None:
         """Accept for another ``accept_s``, answer all accepted requests, then close everything."""
         self.log.info("leaving", under_way=len(self.requests.tasks))
-        within_s = self.ingress.max_time_limit_s + SHUTDOWN_MARGIN_S - accept_s
+        time_limit_s = min(self.ingress.max_time_limit_s, MAX_SHUTDOWN_TIME_LIMIT_S)
+        closes_in_s = time_limit_s + SHUTDOWN_MARGIN_S
+        within_s = closes_in_s - accept_s
+        last_responses = self.runtime.loop.call_later(
+            closes_in_s - RESPONSE_WRITE_MARGIN_S, self.requests.fail_all
+        )
         await asyncio.gather(
             self.http_server.close(accept_s, within_s),
             *(hook(accept_s, within_s) for hook in self.extensions.closing),
         )
+        last_responses.cancel()
         await self.requests.close()
         self.runtime.close()
         await self.discovery.close()
--- a/pepperhook/server/lifecycle_events.py
+++ b/pepperhook/server/lifecycle_events.py
@@ -27,7 +27,19 @@
     """The deadline has passed, but the policy has not ended the request."""
 
 
+@dataclass(slots=True)
+class ShutdownEnds:
+    """The balancer closes its sockets; the final response was given, but attempts may be open."""
+
+
 LifecycleEvent = (
-    StartAttempt | AttemptEnded | CancelAttempt | RejectRequest | FailRequest | ClientLeft | Overdue
+    StartAttempt
+    | AttemptEnded
+    | CancelAttempt
+    | RejectRequest
+    | FailRequest
+    | ClientLeft
+    | Overdue
+    | ShutdownEnds
 )
 Inbox = Queue[LifecycleEvent]
--- a/pepperhook/server/request_lifecycle.py
+++ b/pepperhook/server/request_lifecycle.py
@@ -14,6 +14,7 @@
     Inbox,
     LifecycleEvent,
     Overdue,
+    ShutdownEnds,
 )
 from pepperhook.server.messages import FinalResponse, RequestMessage, ResponseKind
 
@@ -43,7 +44,7 @@
         self.log = log
         self.counters = counters
         self.extensions = extensions
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: dict[asyncio.Task[None], RequestLifecycle] = {}
         # Whether attempts are cancelled when their client leaves. Otherwise they run to their end.
         self.cancels_abandoned = False
 
@@ -54,9 +55,10 @@
         """
         loop = self.runtime.loop
         response: ResponseFuture = loop.create_future()
-        task = loop.create_task(RequestLifecycle(self, request, message, response).run())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        lifecycle = RequestLifecycle(self, request, message, response)
+        task = loop.create_task(lifecycle.run())
+        self.tasks[task] = lifecycle
+        task.add_done_callback(self.tasks.pop)
         return response
 
     def abandon(self, request: Request) -> None:
@@ -65,6 +67,11 @@
         if inbox is not None:
             inbox.put_nowait(ClientLeft())
 
+    def fail_all(self) -> None:
+        """Give all requests in flight their final response now, as a shutdown has to end."""
+        for lifecycle in list(self.tasks.values()):
+            lifecycle.fail()
+
     async def close(self) -> None:
         """Cancel the requests that are still in flight at the end of a graceful shutdown."""
         tasks = list(self.tasks)
@@ -127,6 +134,11 @@
         if response.cancelled():
             self._inbox.put_nowait(ClientLeft())
 
+    def fail(self) -> None:
+        """Give the final response now: failed, as an attempt may have been executed."""
+        self._respond(FinalResponse(ResponseKind.FAILED))
+        self._inbox.put_nowait(ShutdownEnds())
+
     async def _next_event(self) -> LifecycleEvent:
         if self._open_attempts or not self._inbox.empty():
             return await self._inbox.get()  # an attempt ends at its own timeout at the latest
@@ -155,6 +167,8 @@
                 self._client_left()
             case Overdue():
                 self._overdue()
+            case ShutdownEnds():
+                self._cancel_attempts()
 
     def _start_attempt(self, action: StartAttempt) -> None:
         attempt = action.attempt
@@ -230,14 +244,17 @@
         if not self._request.finished:
             self._runtime.call_policy(self._runtime.policy.client_left, self._request)
         del self._runtime.inboxes[self._request]
-        for attempt in self._open_attempts:
-            self._runtime.upstreams.cancel(attempt)
+        self._cancel_attempts()
         if self._response.cancelled():
             self._counters.add("clients left")
         self._respond(FinalResponse(ResponseKind.FAILED))
         for hook in self._extensions.over:
             hook(self._runtime.now(), self._request)
 
+    def _cancel_attempts(self) -> None:
+        for attempt in self._open_attempts:
+            self._runtime.upstreams.cancel(attempt)
+
     async def _ended_before_policy(self) -> bool:
         """Call the ``arrived`` hooks; return whether a hook or the client ended the request."""
         for hook in self._extensions.arrived:
--- a/tests/server/test_shutdown.py
+++ b/tests/server/test_shutdown.py
@@ -5,11 +5,22 @@
 
 import pytest
 
-from tests.server.balancers import RunningBalancer, open_idle_connection, wait_until
-from tests.server.peers import ScriptedPeer, always, header_value, make_response
+from pepperhook.operator_config.schema import Http2Table
+from pepperhook.server.extensions import Extensions
+from tests.http2.well_behaved_client import WellBehavedClient
+from tests.server.balancers import (
+    RunningBalancer,
+    open_idle_connection,
+    wait_until,
+    with_service_classes,
+)
+from tests.server.peers import ScriptedPeer, always, header_value, make_response, request_target
 
 DEADLINE_S = 30
 LONG_AGO_S = 60
+# How long after SIGTERM SIGKILL may come, with any time limit of 3 s or more.
+SIGKILL_S = 3.7
+LATE_RESPONSE_S = 2.5  # still within the time of a shutdown
 
 
 def begin_shutdown(balancer, accept_s=0):
@@ -170,3 +181,58 @@
         await shutdown
 
         assert balancer.counters["taken"] == len(peer.requests) == 1
+
+
+class EndlessWait:
+    """An extension that keeps each request for /hold waiting, as a repeat that waits for a key."""
+
+    async def _wait(self):
+        await asyncio.Event().wait()
+
+    def arrived(self, _now, _request, message):
+        return asyncio.ensure_future(self._wait()) if message.target == "/hold" else None
+
+
+async def answer_late_or_never(head, _body):
+    await asyncio.sleep(LATE_RESPONSE_S if request_target(head) == b"/look" else DEADLINE_S)
+    return make_response()
+
+
+@pytest.mark.parametrize("begin_before", [True, False], ids=["before", "after"])
+async def test_time_limits_longer_than_a_shutdown_may_take_cost_no_response(begin_before):
+    """A shutdown gave itself the longest time limit, and SIGKILL found requests unanswered."""
+    async with (
+        ScriptedPeer(answer_late_or_never) as peer,
+        RunningBalancer(
+            [peer.address],
+            Extensions([EndlessWait()], Http2Table()),
+            env=with_service_classes(timeLimitUs=DEADLINE_S * 10**6),
+        ) as balancer,
+        WellBehavedClient(balancer.port) as client,
+    ):
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        shutdown = None if begin_before else asyncio.ensure_future(balancer.app.shut_down())
+        await asyncio.sleep(0)
+        targets = {b"/look": b"GET", b"/pay": b"POST", b"/hold": b"POST"}
+        connections = {}
+        for target, method in targets.items():
+            connections[target] = await balancer.send_request(
+                target.decode(), method, X_Timeout_Ms="30000", Idempotency_Key="k"
+            )
+        client.send_preface()
+        stream_id = client.request("/pay", "POST", b"1", x_timeout_ms="30000")
+        await wait_until(lambda: len(balancer.app.requests.tasks) == len(targets) + 1)
+        if shutdown is None:
+            began_s = loop.time()
+            shutdown = asyncio.ensure_future(balancer.app.shut_down())
+
+        async with asyncio.timeout_at(began_s + SIGKILL_S):
+            statuses = {
+                target: (await balancer.read_response(reader))[0]
+                for target, (reader, _) in connections.items()
+            }
+            http2_statuses = await client.answers([stream_id])
+            await shutdown
+        assert statuses == {b"/look": 200, b"/pay": 500, b"/hold": 500}
+        assert http2_statuses == [500]
